--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# The developers' and the users' commands; each sets up what it needs.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SECONDS ?= 120
+SEED ?= 1
+
+.PHONY: setup demo test lint format
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements.txt requirements-dev.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps $(foreach p,core dispatch tools bench,-e packages/$(p))
+	touch $@
+
+demo: setup
+	$(BIN)/jujubeglade demo
+
+test: setup
+	$(BIN)/python -m features.run
+
+lint: setup
+	$(BIN)/ruff format --check packages features
+	$(BIN)/ruff check packages features
+
+format: setup
+	$(BIN)/ruff format packages features
+	$(BIN)/ruff check --fix packages features
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""The behaviour of jujubeglade, as behave features."""
--- /dev/null
+++ b/packages/bench/src/jujubeglade/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load and soak."""
--- /dev/null
+++ b/packages/bench/src/jujubeglade/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's store and the upstreams."""
--- /dev/null
+++ b/packages/bench/src/jujubeglade/model/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol, for the model checker."""
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records, streams, store and settings shared by every process."""
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/clock.py
@@ -0,0 +1,84 @@
+"""Time in milliseconds.
+
+One clock type serves every process. Durations are taken from the monotonic
+reading; only what people or other processes read uses the wall clock. Tests
+replace the clock by a `ManualClock`.
+"""
+
+import time
+
+MILLISECONDS_PER_SECOND = 1000
+_NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+class Clock:
+    """The clock of this process."""
+
+    __slots__ = ()
+
+    def now_ms(self):
+        """Read the monotonic clock.
+
+        Returns:
+          A float, milliseconds since an arbitrary start.
+        """
+        return time.monotonic_ns() / _NANOSECONDS_PER_MILLISECOND
+
+    def wall_ms(self):
+        """Read the wall clock.
+
+        Returns:
+          An integer, milliseconds since 1970 in UTC.
+        """
+        return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to."""
+
+    __slots__ = ("_now_ms",)
+
+    def __init__(self, now_ms=0):
+        """Start at a given time.
+
+        Args:
+          now_ms: A number, the first reading of both clocks.
+        """
+        self._now_ms = now_ms
+
+    def advance(self, duration_ms):
+        """Move the clock forward.
+
+        Args:
+          duration_ms: A number of milliseconds.
+        """
+        self._now_ms += duration_ms
+
+    def now_ms(self):
+        """Read the time set last."""
+        return float(self._now_ms)
+
+    def wall_ms(self):
+        """Read the time set last, as a whole number."""
+        return int(self._now_ms)
+
+
+def system_clock():
+    """Make the clock of this process.
+
+    Returns:
+      A Clock.
+    """
+    return Clock()
+
+
+def seconds(duration_ms):
+    """Convert to the seconds that asyncio expects.
+
+    Args:
+      duration_ms: A number of milliseconds.
+
+    Returns:
+      A float, seconds.
+    """
+    return duration_ms / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent role: home of jobs and executor of tasks."""
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The jujubegladed program."""
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers, operators, permits."""
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/query/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' language."""
--- /dev/null
+++ b/packages/tools/src/jujubeglade/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The jujubeglade command line."""
