--- /dev/null
+++ b/packages/core/src/jujubeglade/core/message.py
@@ -0,0 +1,202 @@
+"""Messages between the system's own processes, and their codec.
+
+A message is an immutable record, registered under a code by `register`. Each
+record travels as a msgpack extension of that code, whose data is the array of
+its fields, so that records nest without further rules. A message that asks for
+an answer travels inside a `Request`, its answer inside a `Reply`.
+"""
+
+import dataclasses
+import operator
+
+import msgpack
+import result
+
+from jujubeglade.core import problem
+
+_classes = {}
+_packers = {}
+
+
+def register(code):
+    """Register a record class as a message.
+
+    Args:
+      code: An integer from 0 to 127, unique among the messages.
+    Returns:
+      A decorator that makes the class an immutable record and returns it.
+    """
+
+    def decorate(cls):
+        record = dataclasses.dataclass(frozen=True, slots=True)(cls)
+        names = [field.name for field in dataclasses.fields(record)]
+        if code in _classes:
+            raise ValueError(f"message code {code} is taken; choose another")
+        _classes[code] = record
+        _packers[record] = (code, _fields_getter(names))
+        return record
+
+    return decorate
+
+
+def _fields_getter(names):
+    if not names:
+        return lambda record: ()
+    getter = operator.attrgetter(*names)
+    if len(names) == 1:
+        return lambda record: (getter(record),)
+    return getter
+
+
+def encode(message):
+    """Encode a message for a stream.
+
+    Args:
+      message: A registered record.
+    Returns:
+      Bytes.
+    """
+    return msgpack.packb(message, default=_pack)
+
+
+def decoder(max_bytes):
+    """Make the decoder of one stream.
+
+    Args:
+      max_bytes: An integer, the largest message that is read.
+    Returns:
+      A msgpack.Unpacker; feed it bytes and iterate over the messages.
+    """
+    return msgpack.Unpacker(
+        ext_hook=_unpack,
+        use_list=False,
+        max_buffer_size=max_bytes,
+        strict_map_key=False,
+    )
+
+
+def decode(data):
+    """Decode one message.
+
+    Args:
+      data: Bytes, as `encode` made them.
+    Returns:
+      A Result of the record, or of a Problem of kind FRAME.
+    """
+    try:
+        return result.Ok(msgpack.unpackb(data, ext_hook=_unpack, use_list=False))
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        return result.Err(malformed(error))
+
+
+def malformed(error):
+    """Describe a frame that could not be read.
+
+    Args:
+      error: An exception.
+    Returns:
+      A Problem of kind FRAME.
+    """
+    return problem.Problem(
+        kind=problem.Kind.FRAME,
+        message=f"a frame could not be read: {error}",
+        remedy="run the same version of jujubeglade on both sides",
+    )
+
+
+def _pack(value):
+    entry = _packers.get(type(value))
+    if entry is None:
+        raise TypeError(f"{type(value).__name__} is not a message; register it")
+    code, fields = entry
+    return msgpack.ExtType(code, msgpack.packb(fields(value), default=_pack))
+
+
+def _unpack(code, data):
+    cls = _classes.get(code)
+    if cls is None:
+        raise ValueError(f"message code {code} is not known")
+    return cls(*msgpack.unpackb(data, ext_hook=_unpack, use_list=False))
+
+
+@register(0)
+class Request:
+    """A message that asks for an answer.
+
+    Attributes:
+      number: An integer, unique on its stream and side.
+      body: A message.
+    """
+
+    number: int
+    body: object
+
+
+@register(1)
+class Reply:
+    """The answer to a Request.
+
+    Attributes:
+      number: An integer, that of the request.
+      body: A message, or None when the other side failed.
+    """
+
+    number: int
+    body: object
+
+
+@register(2)
+class Refusal:
+    """A Problem on its way back to whoever asked.
+
+    Attributes:
+      kind: A string, a problem.Kind.
+      message: A string.
+      remedy: A string.
+      place: A string.
+      outcome: A string, a problem.Outcome.
+      retry_after_ms: An integer.
+    """
+
+    kind: str
+    message: str
+    remedy: str
+    place: str
+    outcome: str
+    retry_after_ms: int
+
+
+def refusal_of(cause):
+    """Turn a problem into a message.
+
+    Args:
+      cause: A Problem.
+    Returns:
+      A Refusal.
+    """
+    return Refusal(
+        str(cause.kind),
+        cause.message,
+        cause.remedy,
+        cause.place,
+        str(cause.outcome),
+        cause.retry_after_ms,
+    )
+
+
+def problem_of(refusal):
+    """Turn a message back into a problem.
+
+    Args:
+      refusal: A Refusal.
+    Returns:
+      A Problem.
+    """
+    return problem.Problem(
+        kind=problem.Kind(refusal.kind),
+        message=refusal.message,
+        remedy=refusal.remedy,
+        place=refusal.place,
+        outcome=problem.Outcome(refusal.outcome),
+        retry_after_ms=refusal.retry_after_ms,
+    )
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/routing.py
@@ -0,0 +1,84 @@
+"""The messages by which an entry reaches the owner of a job."""
+
+from jujubeglade.core import job, member, message
+
+
+@message.register(50)
+class Submit:
+    """Hand a submission to an owner; answered by an Answer or a Moved.
+
+    Attributes:
+      submission: A Submission.
+      generation: An integer, the place of the receiver in the ticket's group.
+      members: A tuple of Members, those of the group that the entry knows.
+      wait_ms: An integer, how long the answer may take; a job that still runs
+        is then answered as running.
+    """
+
+    submission: job.Submission
+    generation: int
+    members: tuple[member.Member, ...]
+    wait_ms: int
+
+
+@message.register(51)
+class Query:
+    """Ask an owner for a job's answer.
+
+    Attributes:
+      key: A string, the job key.
+      wait_ms: An integer, as in Submit.
+    """
+
+    key: str
+    wait_ms: int
+
+
+@message.register(52)
+class Cancel:
+    """Cancel a job; answered by its Answer.
+
+    Attributes:
+      key: A string, the job key.
+      reason: A string, who asked and why.
+    """
+
+    key: str
+    reason: str
+
+
+@message.register(53)
+class Moved:
+    """A later generation owns the job.
+
+    Attributes:
+      key: A string, the job key.
+      generation: An integer.
+    """
+
+    key: str
+    generation: int
+
+
+@message.register(54)
+class CancelTenant:
+    """Cancel all jobs of a tenant that the receiver owns.
+
+    Attributes:
+      tenant: A string.
+      reason: A string, who asked and why.
+    """
+
+    tenant: str
+    reason: str
+
+
+@message.register(55)
+class Count:
+    """A number, as the answer of a question that asks how many.
+
+    Attributes:
+      value: An integer.
+    """
+
+    value: int
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -0,0 +1,193 @@
+"""The agent: one process beside an upstream, home of jobs and executor of tasks."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+
+from jujubeglade.agent import announce, executor, home, permit, uplink
+from jujubeglade.core import clock, contract, journal, link, member, problem, ticket
+
+_TICK_MS = 1000
+
+
+class Agent:
+    """One agent process and its parts."""
+
+    def __init__(self, settings, wall):
+        """Build the parts; nothing runs yet.
+
+        Args:
+          settings: The Settings of the agent.
+          wall: A Clock.
+        """
+        self.settings = settings
+        self.clock = wall
+        self.cluster_key = settings.cluster_key.encode("utf-8")
+        incarnation = ticket.new_incarnation()
+        self.identity = link.Identity(
+            "agent", settings.name, incarnation, settings.zone
+        )
+        self.journal = journal.open_journal(settings.name, incarnation, wall)
+        self.permits = permit.Permits(wall, self.identity)
+        self.executor = executor.Executor(
+            self.identity, wall, self.journal, self.permits, settings.limits
+        )
+        self.home = home.Home(self, self.executor)
+        self._uplinks = [
+            uplink.Uplink(self, (entry.host, entry.port)) for entry in settings.entries
+        ]
+        self._tasks = set()
+        self._server = None
+        self._runner = None
+        self._stream_port = settings.stream.port
+        self._http_port = settings.http.port
+
+    @property
+    def http_port(self):
+        """Return the port of the announcements, once started."""
+        return self._http_port
+
+    def member(self):
+        """Describe this agent to the entries.
+
+        Returns:
+          A Member.
+        """
+        load = self.executor.load()
+        return member.Member(
+            self.identity.incarnation,
+            self.identity.name,
+            self.settings.stream.host,
+            self._stream_port,
+            self.identity.zone,
+            self.settings.rack,
+            self.executor.services,
+            load.slots,
+        )
+
+    async def start(self):
+        """Open the ports and start the tasks."""
+        stream = self.settings.stream
+        self._server = await link.serve(
+            (stream.host, stream.port),
+            self.cluster_key,
+            self.identity,
+            self,
+            self.settings.limits.max_connections,
+        )
+        self._stream_port = self._server.sockets[0].getsockname()[1]
+        self._runner = web.AppRunner(announce.application(self), access_log=None)
+        await self._runner.setup()
+        http = self.settings.http
+        site = web.TCPSite(self._runner, http.host, http.port)
+        await site.start()
+        self._http_port = self._runner.addresses[0][1]
+        for each in self._uplinks:
+            self._spawn(each.run())
+        self._spawn(self._beat())
+        self._spawn(self._tick())
+
+    async def stop(self):
+        """Leave gracefully: cut no request, then close everything."""
+        self.executor.leaving = True
+        self.home.leaving = True
+        self.on_upstreams_changed()
+        grace = clock.seconds(self.settings.limits.drain_grace_ms)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace):
+                while not (self.executor.is_idle and self.home.is_idle):
+                    await asyncio.sleep(clock.seconds(20))
+        await self.close()
+
+    async def close(self):
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.home.close()
+        for each in self._uplinks:
+            if each.link is not None:
+                each.link.close()
+        self._server.close()
+        await self._runner.cleanup()
+        await self.executor.close_upstreams()
+
+    def on_link(self, opened):
+        """Note that another agent opened a link."""
+
+    def on_message(self, opened, body):
+        """Take a one-way message of another home.
+
+        Args:
+          opened: The Link.
+          body: A Start.
+        """
+        if isinstance(body, contract.Start):
+            self.executor.start(opened, body)
+
+    async def on_request(self, opened, body):
+        """Serve a question of another home.
+
+        Args:
+          opened: The Link.
+          body: A Claim or a Close.
+        Returns:
+          A Claimed, or a Problem.
+        """
+        named = getattr(body, "incarnation", None)
+        if named != self.identity.incarnation:
+            return problem.Problem(
+                problem.Kind.FRAME,
+                "the question is for another life of this agent",
+                "treat what that life may have started as unknown",
+                outcome=problem.Outcome.UNKNOWN,
+            )
+        if isinstance(body, contract.Claim):
+            return self.executor.claim(opened, body)
+        return self.executor.close(opened, body)
+
+    def on_permit(self):
+        """Go on after a permit was granted."""
+
+    def on_configuration(self):
+        """Go on under a new configuration."""
+        self.journal.record(
+            journal.Kind.CONFIGURATION, "configuration", revision=self.permits.revision
+        )
+        self.executor.pump()
+        self.home.pump()
+
+    def on_upstreams_changed(self):
+        """Tell the entries at once what can be run here."""
+        for each in self._uplinks:
+            each.heartbeat()
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _beat(self):
+        while True:
+            await asyncio.sleep(clock.seconds(self.settings.limits.heartbeat_ms))
+            for each in self._uplinks:
+                each.heartbeat()
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(clock.seconds(_TICK_MS))
+            wall_ms = self.clock.wall_ms()
+            self.executor.tick(wall_ms)
+            self.home.tick(wall_ms)
+
+
+def new_agent(settings):
+    """Make an agent.
+
+    Args:
+      settings: The Settings of the agent.
+    Returns:
+      An Agent; start it with `start`.
+    """
+    return Agent(settings, clock.system_clock())
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -0,0 +1,502 @@
+"""The executor: starts tasks on the upstreams beside this agent.
+
+It keeps the promises of docs/DESIGN.md, "At most once": for each job of the
+window the fence, whether it is closed, and every attempt. Nothing here consults
+a lease or a timeout to decide whether a task may start a second time.
+"""
+
+import asyncio
+import collections
+
+from jujubeglade.core import contract, job
+from jujubeglade.core import journal as audit
+
+_FINISHED = contract.AttemptState.FINISHED
+_NEVER = contract.AttemptState.NEVER
+_QUEUED = contract.AttemptState.QUEUED
+_RUNNING = contract.AttemptState.RUNNING
+_ACCEPTED = (_QUEUED, _RUNNING, _FINISHED)
+
+
+class ExecutedAttempt:
+    """One attempt, from its acceptance to its end."""
+
+    __slots__ = ("body", "body_held", "entry", "state", "task_id", "upstream", "verdict")
+
+    def __init__(self, task_id, entry, state):
+        """Remember an attempt.
+
+        Args:
+          task_id: A TaskId.
+          entry: A StartTask, or None for an attempt that was only promised
+            never to start.
+          state: An AttemptState.
+        """
+        self.task_id = task_id
+        self.entry = entry
+        self.state = state
+        self.upstream = None
+        self.verdict = ""
+        self.body = b""
+        self.body_held = True
+
+    def report(self):
+        """Describe the attempt to an owner.
+
+        Returns:
+          An Attempt.
+        """
+        return contract.Attempt(
+            self.task_id.index,
+            self.task_id.attempt,
+            self.state,
+            self.verdict,
+            self.body,
+            self.body_held,
+        )
+
+
+class ExecutedJob:
+    """What this executor knows of one job."""
+
+    __slots__ = (
+        "attempts",
+        "closed",
+        "deadline_ms",
+        "fence",
+        "issued_ms",
+        "key",
+        "owner",
+        "taken",
+        "tenant",
+        "urgency",
+    )
+
+    def __init__(self, key, issued_ms):
+        """Start with nothing known.
+
+        Args:
+          key: A string, the job key.
+          issued_ms: An integer, when the ticket was issued.
+        """
+        self.key = key
+        self.issued_ms = issued_ms
+        self.fence = 0
+        self.closed = False
+        self.owner = None
+        self.tenant = ""
+        self.urgency = job.Urgency.NORMAL
+        self.deadline_ms = 0.0
+        self.attempts = {}
+        # The tasks of which an attempt was accepted and not taken back.
+        self.taken = set()
+
+
+class Executor:
+    """The executor of one agent."""
+
+    __slots__ = (
+        "_calls",
+        "_clock",
+        "_floor_ms",
+        "_held",
+        "_held_bytes",
+        "_identity",
+        "_jobs",
+        "_journal",
+        "_limits",
+        "_permits",
+        "_queues",
+        "_queued",
+        "_running",
+        "_upstreams",
+        "leaving",
+    )
+
+    def __init__(self, identity, clock, journal, permits, limits):
+        """Start with no upstream and no job.
+
+        Args:
+          identity: An Identity, of this agent.
+          clock: A Clock.
+          journal: A Journal.
+          permits: A Permits.
+          limits: The limits of the settings.
+        """
+        self._identity = identity
+        self._clock = clock
+        self._journal = journal
+        self._permits = permits
+        self._limits = limits
+        self._upstreams = {}
+        self._jobs = {}
+        self._queues = collections.defaultdict(collections.deque)
+        self._queued = 0
+        self._running = 0
+        self._calls = set()
+        self._held = collections.deque()
+        self._held_bytes = 0
+        self._floor_ms = 0
+        self.leaving = False
+
+    @property
+    def floor_ms(self):
+        """Return the issue time below which jobs are forgotten."""
+        return self._floor_ms
+
+    @property
+    def is_idle(self):
+        """Tell whether nothing is queued or running."""
+        return self._queued == 0 and self._running == 0
+
+    @property
+    def services(self):
+        """Return the services of the live upstreams, sorted."""
+        live = self._live_upstreams()
+        return tuple(sorted({up.announcement.service for up in live}))
+
+    def load(self):
+        """Measure how busy this executor is.
+
+        Returns:
+          A Load.
+        """
+        slots = sum(up.announcement.slots for up in self._live_upstreams())
+        return contract.Load(self._queued, self._running, slots)
+
+    def add_upstream(self, upstream):
+        """Take an upstream into service.
+
+        Args:
+          upstream: An Upstream.
+        """
+        self._upstreams[upstream.lease] = upstream
+
+    def upstream(self, lease):
+        """Find an upstream by its lease.
+
+        Args:
+          lease: A string.
+        Returns:
+          An Upstream, or None.
+        """
+        return self._upstreams.get(lease)
+
+    def start(self, link, start):
+        """Accept or reject the tasks of a Start.
+
+        Args:
+          link: The Link of the owner, to which answers go.
+          start: A Start.
+        """
+        if start.issued_ms < self._floor_ms:
+            for entry in start.tasks:
+                self._reject(link, start.key, entry, contract.Reject.WINDOW_PASSED)
+            return
+        known = self._job(start.key, start.issued_ms)
+        reason = self._refusal(known, start.generation)
+        if reason is None:
+            self._adopt_owner(known, link, start.generation)
+            known.tenant = start.tenant
+            known.urgency = start.urgency
+            known.deadline_ms = self._clock.now_ms() + start.remaining_ms
+        for entry in start.tasks:
+            self._accept(link, known, entry, reason)
+        self.pump()
+
+    def claim(self, link, claim):
+        """Answer a Claim, raising the fence.
+
+        Args:
+          link: The Link of the owner that asks, or None for the local home.
+          claim: A Claim.
+        Returns:
+          A Claimed.
+        """
+        known = self._job(claim.key, claim.issued_ms)
+        if claim.issued_ms < self._floor_ms or claim.generation < known.fence:
+            fence = max(known.fence, claim.generation + 1)
+            return contract.Claimed(claim.key, fence, known.closed, (), self.load())
+        if claim.generation > known.fence:
+            self._raise_fence(known, claim.generation)
+        known.owner = link
+        for index, attempt in claim.attempts:
+            self._settle(known, index, attempt)
+        return self._claimed(known)
+
+    def close(self, link, close):
+        """Answer a Close: nothing of the job starts any more.
+
+        Args:
+          link: The Link of the owner that asks, or None for the local home.
+          close: A Close.
+        Returns:
+          A Claimed.
+        """
+        known = self._job(close.key, close.issued_ms)
+        if close.issued_ms < self._floor_ms or close.generation < known.fence:
+            fence = max(known.fence, close.generation + 1)
+            return contract.Claimed(close.key, fence, known.closed, (), self.load())
+        if close.generation > known.fence:
+            self._raise_fence(known, close.generation)
+        known.closed = True
+        self._journal.record(audit.Kind.CLOSED, known.key, generation=known.fence)
+        self._drop_queued(known)
+        for attempt in known.attempts.values():
+            if attempt.state == _RUNNING:
+                self._spawn(attempt.upstream.cancel(attempt.task_id))
+        return self._claimed(known)
+
+    def tick(self, wall_ms):
+        """Forget what is outside the window and drop what may not start.
+
+        Args:
+          wall_ms: An integer, the wall clock.
+        """
+        self._raise_floor(wall_ms - 2 * self._limits.window_ms)
+        now_ms = self._clock.now_ms()
+        for lease, upstream in list(self._upstreams.items()):
+            if not upstream.is_live(now_ms) and upstream.running == 0:
+                del self._upstreams[lease]
+                self._spawn(upstream.close())
+        self.pump()
+
+    async def drain(self):
+        """Wait until every accepted task has ended."""
+        while self._calls:
+            await asyncio.wait(set(self._calls))
+
+    async def close_upstreams(self):
+        """Close the connections to all upstreams."""
+        for upstream in self._upstreams.values():
+            await upstream.close()
+
+    def _live_upstreams(self):
+        now_ms = self._clock.now_ms()
+        return [up for up in self._upstreams.values() if up.is_live(now_ms)]
+
+    def _job(self, key, issued_ms):
+        known = self._jobs.get(key)
+        if known is None:
+            known = ExecutedJob(key, issued_ms)
+            if issued_ms >= self._floor_ms:
+                self._jobs[key] = known
+                self._bound_jobs()
+        return known
+
+    def _adopt_owner(self, known, link, generation):
+        """Send answers to the link that claimed last, not to one it replaced."""
+        later = generation > known.fence
+        if later or known.owner is None or not known.owner.is_open:
+            known.owner = link
+        known.fence = generation
+
+    def _refusal(self, known, generation):
+        if generation < known.fence:
+            return contract.Reject.FENCED
+        if known.closed:
+            return contract.Reject.CLOSED
+        if self.leaving:
+            return contract.Reject.LEAVING
+        return self._permits.refusal()
+
+    def _accept(self, link, known, entry, reason):
+        name = (entry.index, entry.attempt)
+        earlier = known.attempts.get(name)
+        if earlier is not None and earlier.state in _ACCEPTED:
+            # A repeated frame: the attempt has been accepted and is answered once.
+            return
+        if earlier is not None:
+            reason = contract.Reject.REPEATED
+        elif reason is None and not entry.task.repeatable:
+            if entry.index in known.taken:
+                reason = contract.Reject.REPEATED
+        if reason is None and self._queued >= self._limits.max_queue_tasks:
+            reason = contract.Reject.QUEUE_FULL
+        if reason is None and entry.task.service not in self.services:
+            reason = contract.Reject.NO_UPSTREAM
+        task_id = job.TaskId(known.key, entry.index, entry.attempt)
+        if reason is not None:
+            known.attempts.setdefault(name, ExecutedAttempt(task_id, None, _NEVER))
+            self._reject(link, known.key, entry, reason)
+            return
+        accepted = ExecutedAttempt(task_id, entry, _QUEUED)
+        known.attempts[name] = accepted
+        known.taken.add(entry.index)
+        self._queues[entry.task.service].append((known, accepted))
+        self._queued += 1
+
+    def _reject(self, link, key, entry, reason, retry_after_ms=0):
+        load = self.load()
+        self._journal.record(
+            audit.Kind.REJECTED,
+            key,
+            index=entry.index,
+            attempt=entry.attempt,
+            reason=str(reason),
+        )
+        if link is not None:
+            link.send(
+                contract.Rejected(
+                    key, entry.index, entry.attempt, reason, retry_after_ms, load
+                )
+            )
+
+    def pump(self):
+        """Start what is queued while slots are free."""
+        for service, queue in self._queues.items():
+            while queue:
+                known, attempt = queue[0]
+                if attempt.state != _QUEUED:
+                    queue.popleft()
+                    continue
+                reason = self._late_refusal(known)
+                upstream = self._free_upstream(service)
+                if reason is None and upstream is None:
+                    break
+                queue.popleft()
+                self._queued -= 1
+                if reason is not None:
+                    self._take_back(known, attempt, reason)
+                else:
+                    self._begin(known, attempt, upstream)
+
+    def _late_refusal(self, known):
+        reason = self._permits.refusal()
+        if reason is None and self._clock.now_ms() >= known.deadline_ms:
+            return contract.Reject.TOO_LATE
+        return reason
+
+    def _free_upstream(self, service):
+        free = [
+            up
+            for up in self._live_upstreams()
+            if up.announcement.service == service and up.has_free_slot
+        ]
+        return min(free, key=lambda up: up.running, default=None)
+
+    def _take_back(self, known, attempt, reason, retry_after_ms=0):
+        attempt.state = _NEVER
+        known.taken.discard(attempt.task_id.index)
+        self._reject(known.owner, known.key, attempt.entry, reason, retry_after_ms)
+
+    def _begin(self, known, attempt, upstream):
+        attempt.state = _RUNNING
+        attempt.upstream = upstream
+        upstream.running += 1
+        self._running += 1
+        self._journal.record(
+            audit.Kind.STARTED,
+            known.key,
+            index=attempt.task_id.index,
+            attempt=attempt.task_id.attempt,
+            generation=known.fence,
+        )
+        self._spawn(self._call(known, attempt, upstream))
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _call(self, known, attempt, upstream):
+        begun_ms = self._clock.now_ms()
+        wall_ms = self._clock.wall_ms()
+        start_by_ms = wall_ms + self._permits.remaining_ms()
+        deadline_ms = wall_ms + int(known.deadline_ms - begun_ms)
+        payload = attempt.entry.task.payload
+        try:
+            ended = await upstream.call(
+                attempt.task_id, payload, start_by_ms, deadline_ms
+            )
+        finally:
+            upstream.running -= 1
+            self._running -= 1
+        run_ms = int(self._clock.now_ms() - begun_ms)
+        self._end(known, attempt, ended, run_ms)
+        self.pump()
+
+    def _end(self, known, attempt, ended, run_ms):
+        if ended.reject is not None:
+            self._take_back(known, attempt, ended.reject, ended.retry_after_ms)
+            return
+        attempt.state = _FINISHED
+        attempt.verdict = ended.verdict
+        attempt.body = ended.body
+        self._hold(attempt)
+        self._journal.record(
+            audit.Kind.FINISHED,
+            known.key,
+            index=attempt.task_id.index,
+            attempt=attempt.task_id.attempt,
+            verdict=str(ended.verdict),
+            run_ms=run_ms,
+        )
+        if known.owner is not None:
+            known.owner.send(
+                contract.Finished(
+                    known.key,
+                    attempt.task_id.index,
+                    attempt.task_id.attempt,
+                    ended.verdict,
+                    ended.body,
+                    run_ms,
+                    self.load(),
+                )
+            )
+
+    def _hold(self, attempt):
+        self._held.append(attempt)
+        self._held_bytes += len(attempt.body)
+        while self._held_bytes > self._limits.result_bytes:
+            oldest = self._held.popleft()
+            self._held_bytes -= len(oldest.body)
+            oldest.body = b""
+            oldest.body_held = False
+
+    def _settle(self, known, index, attempt):
+        """Promise never to start an attempt that is not known here."""
+        if (index, attempt) not in known.attempts:
+            task_id = job.TaskId(known.key, index, attempt)
+            promised = ExecutedAttempt(task_id, None, _NEVER)
+            known.attempts[(index, attempt)] = promised
+
+    def _raise_fence(self, known, generation):
+        former = known.owner
+        known.fence = generation
+        self._journal.record(audit.Kind.FENCED, known.key, generation=generation)
+        self._drop_queued(known)
+        if former is not None:
+            former.send(contract.Fenced(known.key, generation))
+
+    def _drop_queued(self, known):
+        for attempt in known.attempts.values():
+            if attempt.state == _QUEUED:
+                attempt.state = _NEVER
+                known.taken.discard(attempt.task_id.index)
+                self._queued -= 1
+
+    def _claimed(self, known):
+        reports = tuple(attempt.report() for attempt in known.attempts.values())
+        return contract.Claimed(
+            known.key, known.fence, known.closed, reports, self.load()
+        )
+
+    def _bound_jobs(self):
+        if len(self._jobs) > self._limits.max_jobs:
+            oldest = min(known.issued_ms for known in self._jobs.values())
+            self._raise_floor(oldest + 1)
+
+    def _raise_floor(self, floor_ms):
+        if floor_ms <= self._floor_ms:
+            return
+        self._floor_ms = floor_ms
+        passed = [k for k, known in self._jobs.items() if known.issued_ms < floor_ms]
+        for key in passed:
+            self._forget(self._jobs.pop(key))
+
+    def _forget(self, known):
+        self._drop_queued(known)
+        for attempt in known.attempts.values():
+            # The bytes stay counted until the attempt leaves the queue of held ones.
+            attempt.body_held = False
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -0,0 +1,685 @@
+"""The home: owns jobs, places their tasks and answers for them.
+
+The rules by which an owner may place a task are those of docs/DESIGN.md, "At
+most once". Placement itself is a policy. A job ends in exactly one answer, and
+an answer that says `not_run` is given only after the job was closed at a
+candidate.
+"""
+
+import asyncio
+import dataclasses
+
+from jujubeglade.agent import owned, policy, takeover, worker
+from jujubeglade.core import clock, contract, job, problem, routing, ticket
+from jujubeglade.core import journal as audit
+
+CLAIM_PATIENCE_MS = 1500
+CLOSE_PATIENCE_MS = 250
+_PUMP_RETRY_MS = 20
+_AVOID_MS = 1000
+_MAX_REJECTS = 50
+_RETRY_AFTER_MS = 1000
+
+_SUCCEEDED = contract.Verdict.SUCCEEDED
+_UNSUITABLE = frozenset(
+    (
+        contract.Reject.DRAINED,
+        contract.Reject.LEAVING,
+        contract.Reject.NO_PERMIT,
+        contract.Reject.NO_UPSTREAM,
+        contract.Reject.UNREACHABLE,
+        contract.Reject.TOO_LATE,
+    )
+)
+
+
+class LocalLink:
+    """The way from this agent's executor to its own home."""
+
+    __slots__ = ("_home", "is_open", "remote")
+
+    def __init__(self, home, identity):
+        """Connect the two halves of one agent.
+
+        Args:
+          home: A Home.
+          identity: An Identity, of this agent.
+        """
+        self._home = home
+        self.remote = identity
+        self.is_open = True
+
+    def send(self, body):
+        """Hand a message over on the next turn of the event loop.
+
+        Args:
+          body: A message.
+        """
+        asyncio.get_running_loop().call_soon(self._home.on_message, self, body)
+        return True
+
+
+class Home:
+    """The home role of one agent."""
+
+    def __init__(self, agent, executor):
+        """Start with no job.
+
+        Args:
+          agent: The Agent's context: identity, clock, journal, permits,
+            settings.
+          executor: The Executor of this agent.
+        """
+        self._agent = agent
+        self._clock = agent.clock
+        self._journal = agent.journal
+        self._limits = agent.settings.limits
+        self._executor = executor
+        self._local = LocalLink(self, agent.identity)
+        self._jobs = {}
+        self._workers = {}
+        self._tasks = set()
+        self._queue = policy.queue(agent.settings)
+        self._placement = policy.placement(agent.settings)
+        self._pump_handle = None
+        self._held_bytes = 0
+        self._floor_ms = 0
+        self.leaving = False
+
+    @property
+    def is_idle(self):
+        """Tell whether every job has been answered."""
+        return all(known.is_over and not known.ending for known in self._jobs.values())
+
+    @property
+    def journal(self):
+        """Return the journal of this agent."""
+        return self._journal
+
+    @property
+    def workers(self):
+        """Return the known workers, by incarnation."""
+        return self._workers
+
+    @property
+    def jobs(self):
+        """Return the owned jobs, by key."""
+        return self._jobs
+
+    async def submit(self, submit):
+        """Take a submission and answer it.
+
+        Args:
+          submit: A Submit.
+        Returns:
+          An Answer, a Moved, or a Problem.
+        """
+        parsed = ticket.parse(self._agent.cluster_key, submit.submission.ticket)
+        if parsed.is_err():
+            return parsed.err_value
+        held = parsed.ok_value
+        known = self._jobs.get(held.key)
+        if known is None:
+            refused = self._refusal(held, submit)
+            if refused is not None:
+                self._journal.record(
+                    audit.Kind.REFUSED, held.key, reason=str(refused.kind)
+                )
+                return refused
+            known = self._accept(held, submit)
+        return await self._wait(known, submit.wait_ms)
+
+    async def query(self, query):
+        """Answer for a job that is known here.
+
+        Args:
+          query: A Query.
+        Returns:
+          An Answer, a Moved, or a Problem of kind UNKNOWN_JOB.
+        """
+        known = self._jobs.get(query.key)
+        if known is None:
+            return _unknown_job(query.key)
+        return await self._wait(known, query.wait_ms)
+
+    async def cancel(self, cancel):
+        """Cancel a job.
+
+        Args:
+          cancel: A Cancel.
+        Returns:
+          The job's Answer, a Moved, or a Problem of kind UNKNOWN_JOB.
+        """
+        known = self._jobs.get(cancel.key)
+        if known is None:
+            return _unknown_job(cancel.key)
+        self._journal.record(audit.Kind.CANCELLED, known.key, reason=cancel.reason)
+        await self.fail(known, f"cancelled: {cancel.reason}", 0)
+        return await self._wait(known, CLOSE_PATIENCE_MS)
+
+    async def cancel_tenant(self, cancel):
+        """Cancel all running jobs of a tenant.
+
+        Args:
+          cancel: A CancelTenant.
+        Returns:
+          A Count of the jobs cancelled.
+        """
+        running = [
+            known
+            for known in self._jobs.values()
+            if known.submission.tenant == cancel.tenant and not known.is_over
+        ]
+        orders = [routing.Cancel(known.key, cancel.reason) for known in running]
+        await asyncio.gather(*(self.cancel(order) for order in orders))
+        return routing.Count(len(running))
+
+    def on_message(self, link, body):
+        """Take a message of an executor.
+
+        Args:
+          link: The Link, or LocalLink, it came by.
+          body: A Finished, Rejected or Fenced.
+        """
+        if isinstance(body, contract.Finished):
+            self._on_finished(link, body)
+        elif isinstance(body, contract.Rejected):
+            self._on_rejected(link, body)
+        elif isinstance(body, contract.Fenced):
+            known = self._jobs.get(body.key)
+            if known is not None and body.generation > known.generation:
+                self.move(known, body.generation)
+
+    async def on_request(self, link, body):
+        """Refuse questions: executors ask none of a home."""
+        return problem.Problem(
+            problem.Kind.FRAME, "an executor asked a home", "run the same version"
+        )
+
+    def on_worker_changed(self, changed):
+        """Place again after a worker's link opened or could not be dialed."""
+        self.pump()
+
+    def on_worker_lost(self, lost):
+        """Settle what a worker held when its link closed.
+
+        Args:
+          lost: A Worker.
+        """
+        held = {}
+        for key, index, attempt in lost.outstanding:
+            held.setdefault(key, []).append((index, attempt))
+        for key, attempts in held.items():
+            known = self._jobs.get(key)
+            if known is not None and not known.is_over:
+                self.spawn(takeover.settle(self, known, lost, tuple(attempts)))
+        self.pump()
+
+    def tick(self, wall_ms):
+        """Forget jobs outside the window.
+
+        Args:
+          wall_ms: An integer, the wall clock.
+        """
+        self._raise_floor(wall_ms - 2 * self._limits.window_ms)
+        self.pump()
+
+    def spawn(self, coroutine):
+        """Run a coroutine beside the others until it ends.
+
+        Args:
+          coroutine: A coroutine.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self):
+        """Stop all tasks and close all links to workers."""
+        for task in self._tasks:
+            task.cancel()
+        for known in self._workers.values():
+            if known.link is not None:
+                known.link.close()
+
+    def worker_for(self, member):
+        """Find or make the worker of a member, and keep its link.
+
+        Args:
+          member: A Member.
+        Returns:
+          A Worker.
+        """
+        now_ms = self._clock.now_ms()
+        known = self._workers.get(member.incarnation)
+        if known is None:
+            known = worker.Worker(member, now_ms)
+            self._workers[member.incarnation] = known
+            if member.incarnation != self._agent.identity.incarnation:
+                agent = self._agent
+                self.spawn(known.keep_link(agent.cluster_key, agent.identity, self))
+        known.member = member
+        known.used_ms = now_ms
+        return known
+
+    def is_local(self, candidate):
+        """Tell whether a worker is this agent itself.
+
+        Args:
+          candidate: A Worker.
+        """
+        return candidate.member.incarnation == self._agent.identity.incarnation
+
+    async def claim(self, candidate, claim):
+        """Put a Claim or Close to a worker.
+
+        Args:
+          candidate: A Worker.
+          claim: A Claim or a Close.
+        Returns:
+          A Claimed, or None when no answer came.
+        """
+        closing = isinstance(claim, contract.Close)
+        if self.is_local(candidate):
+            serve = self._executor.close if closing else self._executor.claim
+            return serve(self._local, claim)
+        patience_ms = CLOSE_PATIENCE_MS if closing else CLAIM_PATIENCE_MS
+        opened = await candidate.connected(patience_ms)
+        if opened is None:
+            return None
+        answered = await opened.ask(claim, patience_ms)
+        return answered.ok_value if answered.is_ok() else None
+
+    def make_ready(self, known, indexes):
+        """Queue tasks of a job for placement.
+
+        Args:
+          known: An OwnedJob.
+          indexes: An iterable of integers, the places of the tasks.
+        """
+        known.pending.extend(indexes)
+        known.ready = True
+        self._queue.add(known)
+        self.pump()
+
+    def adopt(self, known, candidate, report):
+        """Count an attempt that runs on a worker as this owner's own.
+
+        Args:
+          known: An OwnedJob.
+          candidate: A Worker.
+          report: An Attempt.
+        """
+        known.tasks[report.index].attempts[report.attempt] = candidate
+        candidate.outstanding.add((known.key, report.index, report.attempt))
+
+    def release(self, known, index, attempt):
+        """Strike an attempt that is no longer out.
+
+        Args:
+          known: An OwnedJob.
+          index: An integer, the task's place.
+          attempt: An integer.
+        Returns:
+          A boolean, whether it was out.
+        """
+        holder = known.tasks[index].attempts.pop(attempt, None)
+        if holder is None:
+            return False
+        holder.outstanding.discard((known.key, index, attempt))
+        return True
+
+    def take_result(self, known, index, verdict, body, body_held=True):
+        """Take the end of an attempt that was started.
+
+        Args:
+          known: An OwnedJob.
+          index: An integer, the task's place.
+          verdict: A string, a Verdict.
+          body: Bytes, the result or the error.
+          body_held: A boolean, false when the executor dropped the body.
+        """
+        task = known.tasks[index]
+        if known.is_over or task.answer is not None:
+            return
+        if verdict == _SUCCEEDED and body_held:
+            task.answer = job.TaskAnswer(job.TaskOutcome.RAN, body, "")
+            known.unfinished -= 1
+            if known.unfinished == 0:
+                self._complete(known)
+            return
+        ran = verdict != contract.Verdict.UNKNOWN
+        outcome = job.TaskOutcome.RAN if ran else job.TaskOutcome.MAY_HAVE_RUN
+        task.evidence = outcome
+        if task.task.repeatable and self._may_retry(task):
+            if not task.attempts:
+                self.make_ready(known, (index,))
+            return
+        text = body.decode("utf-8", "replace") or "the result is no longer held"
+        self.fail_task(known, index, outcome, text)
+
+    def fail_task(self, known, index, outcome, error):
+        """Fail a task for good, and its job with it.
+
+        Args:
+          known: An OwnedJob.
+          index: An integer, the task's place.
+          outcome: A TaskOutcome.
+          error: A string.
+        """
+        if known.is_over or known.tasks[index].answer is not None:
+            return
+        known.tasks[index].answer = job.TaskAnswer(outcome, b"", error)
+        self.spawn(self.fail(known, f"task {index}: {error}", 0))
+
+    def move(self, known, generation):
+        """Give up a job that a later generation owns.
+
+        Args:
+          known: An OwnedJob.
+          generation: An integer.
+        """
+        if known.answer is not None or known.moved_to is not None:
+            return
+        known.moved_to = generation
+        self._journal.record(audit.Kind.FENCED, known.key, generation=generation)
+        self._release_all(known)
+        self._finish(known)
+
+    def pump(self):
+        """Place pending tasks while workers have room."""
+        starts = {}
+        exhausted = set()
+        now_ms = self._clock.now_ms()
+        for known in self._queue.jobs():
+            if known.is_over or not known.pending:
+                self._queue.discard(known)
+            else:
+                self._place_some(known, now_ms, starts, exhausted)
+        for (_, candidate), (known, entries) in starts.items():
+            self._send_start(known, candidate, tuple(entries), now_ms)
+        if len(self._queue) and self._pump_handle is None:
+            loop = asyncio.get_running_loop()
+            delay = clock.seconds(_PUMP_RETRY_MS)
+            self._pump_handle = loop.call_later(delay, self._pump_again)
+
+    def _pump_again(self):
+        self._pump_handle = None
+        self.pump()
+
+    def _place_some(self, known, now_ms, starts, exhausted):
+        """Place what can be placed of one job.
+
+        `exhausted` holds the kinds of tasks for which no worker had room in this
+        round, so that a long queue is not searched again and again.
+        """
+        while known.pending:
+            index = known.pending[0]
+            task = known.tasks[index]
+            if task.answer is not None:
+                known.pending.popleft()
+                continue
+            kind = (known.ticket.group, task.task.service, task.task.repeatable)
+            if kind in exhausted:
+                return
+            usable = self._usable(known, task.task, now_ms)
+            chosen = self._placement.choose(usable, self._agent.identity.zone)
+            if chosen is None:
+                exhausted.add(kind)
+                self._give_up_if_hopeless(known, task.task)
+                return
+            known.pending.popleft()
+            self._place(known, index, chosen, now_ms, starts)
+
+    def _place(self, known, index, chosen, now_ms, starts):
+        task = known.tasks[index]
+        attempt = known.next_attempt(index)
+        task.attempts[attempt] = chosen
+        task.placed_ms = now_ms
+        chosen.outstanding.add((known.key, index, attempt))
+        entry = contract.StartTask(index, attempt, task.task)
+        starts.setdefault((known.key, chosen), (known, []))[1].append(entry)
+
+    def _may_hold(self, known, task, candidate):
+        """Tell whether the rules let a worker run a task."""
+        if candidate.gone or task.service not in candidate.member.services:
+            return False
+        if self._is_drained(candidate):
+            return False
+        # A start has two witnesses, unless the group has no other agent.
+        alone = len(known.ticket.group) == 1
+        return task.repeatable or alone or not self.is_local(candidate)
+
+    def _usable(self, known, task, now_ms):
+        return [
+            candidate
+            for candidate in known.workers
+            if self._may_hold(known, task, candidate)
+            and (candidate.link is not None or self.is_local(candidate))
+            and not candidate.is_paused(now_ms)
+        ]
+
+    def _is_drained(self, candidate):
+        member = candidate.member
+        return self._agent.permits.is_drained(member.zone, member.name)
+
+    def _give_up_if_hopeless(self, known, task):
+        """Answer at once when no worker can take a task any more."""
+        hopeful = any(
+            candidate.may_connect or self.is_local(candidate)
+            for candidate in known.workers
+            if self._may_hold(known, task, candidate)
+        )
+        if not hopeful:
+            reason = f"no worker of service {task.service} is in service"
+            self.spawn(self.fail(known, reason, _RETRY_AFTER_MS))
+
+    def _send_start(self, known, candidate, entries, now_ms):
+        start = contract.Start(
+            known.key,
+            known.ticket.issued_ms,
+            known.generation,
+            known.submission.tenant,
+            known.submission.urgency,
+            max(0, int(known.deadline_ms - now_ms)),
+            entries,
+        )
+        if self.is_local(candidate):
+            self._executor.start(self._local, start)
+        else:
+            candidate.link.send(start)
+
+    def _on_finished(self, link, finished):
+        known = self._note(link, finished)
+        if known is not None:
+            self.take_result(known, finished.index, finished.verdict, finished.body)
+        self.pump()
+
+    def _on_rejected(self, link, rejected):
+        known = self._note(link, rejected)
+        candidate = self._workers.get(link.remote.incarnation)
+        now_ms = self._clock.now_ms()
+        if candidate is not None:
+            if rejected.reason in _UNSUITABLE:
+                candidate.pause(now_ms + _AVOID_MS)
+            elif rejected.reason == contract.Reject.THROTTLED:
+                candidate.pause(now_ms + rejected.retry_after_ms)
+        if known is None or known.is_over:
+            return
+        if rejected.reason == contract.Reject.FENCED:
+            self.move(known, known.generation + 1)
+            return
+        task = known.tasks[rejected.index]
+        task.rejects += 1
+        if task.rejects > _MAX_REJECTS:
+            reason = f"task {rejected.index}: rejected too often: {rejected.reason}"
+            self.spawn(self.fail(known, reason, _RETRY_AFTER_MS))
+        elif task.answer is None and not task.attempts:
+            self.make_ready(known, (rejected.index,))
+
+    def _note(self, link, ended):
+        """Strike an ended attempt; return its job when it was out."""
+        known = self._jobs.get(ended.key)
+        was_out = known is not None and self.release(known, ended.index, ended.attempt)
+        candidate = self._workers.get(link.remote.incarnation)
+        if candidate is not None:
+            candidate.note_load(ended.load)
+        return known if was_out else None
+
+    def _may_retry(self, task):
+        return task.attempts_made < policy.MAX_ATTEMPTS
+
+    def _refusal(self, held, submit):
+        if held.issued_ms < self._floor_ms:
+            return problem.Problem(
+                kind=problem.Kind.WINDOW_PASSED,
+                message="the id is older than the window of resubmission",
+                remedy="look the job up in the audit before taking a new id",
+                outcome=problem.Outcome.UNKNOWN,
+            )
+        owners = held.owners
+        mine = self._agent.identity.incarnation
+        if submit.generation >= len(owners) or owners[submit.generation] != mine:
+            return problem.Problem(
+                kind=problem.Kind.HOME_LOST,
+                message="this agent does not own that generation of the job",
+                remedy="submit again with the same id",
+                outcome=problem.Outcome.UNKNOWN,
+            )
+        if self.leaving:
+            return problem.Problem(
+                kind=problem.Kind.SHUTTING_DOWN,
+                message="the home is shutting down",
+                remedy="submit again with the same id",
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        if len(self._jobs) >= self._limits.max_jobs:
+            return problem.Problem(
+                kind=problem.Kind.OVERLOADED,
+                message="the home holds as many jobs as it may",
+                remedy="come back later with the same id",
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        return None
+
+    def _accept(self, held, submit):
+        now_ms = self._clock.now_ms()
+        known = owned.OwnedJob(submit.submission, held, submit.generation, now_ms)
+        self._jobs[held.key] = known
+        self._journal.record(
+            audit.Kind.ACCEPTED,
+            held.key,
+            generation=submit.generation,
+            tenant=submit.submission.tenant,
+            tasks=len(known.tasks),
+        )
+        by_incarnation = {member.incarnation: member for member in submit.members}
+        known.workers = tuple(
+            self.worker_for(by_incarnation[name])
+            for name in held.group
+            if name in by_incarnation
+        )
+        loop = asyncio.get_running_loop()
+        delay = clock.seconds(submit.submission.deadline_ms)
+        known.deadline_handle = loop.call_later(delay, self._on_deadline, known)
+        if submit.generation > 0:
+            self.spawn(takeover.take_over(self, known, by_incarnation))
+        else:
+            self.make_ready(known, range(len(known.tasks)))
+        return known
+
+    def _on_deadline(self, known):
+        if not known.is_over:
+            reason = "the deadline passed"
+            self.spawn(self.fail(known, reason, _RETRY_AFTER_MS))
+
+    async def _wait(self, known, wait_ms):
+        if known.answer is None and known.moved_to is None and wait_ms > 0:
+            waiter = asyncio.get_running_loop().create_future()
+            known.add_waiter(waiter)
+            await asyncio.wait((waiter,), timeout=clock.seconds(wait_ms))
+        if known.answer is not None:
+            return known.answer
+        if known.moved_to is not None:
+            return routing.Moved(known.key, known.moved_to)
+        return job.running(known.key)
+
+    def _complete(self, known):
+        answers = tuple(task.answer for task in known.tasks)
+        self._answer(known, job.Answer(known.key, job.State.COMPLETE, "", 0, answers))
+
+    async def fail(self, known, reason, retry_after_ms):
+        """End a job as failed, after closing it where its tasks may be.
+
+        Args:
+          known: An OwnedJob.
+          reason: A string, for the client.
+          retry_after_ms: An integer, when to come back; 0 means do not.
+        """
+        if known.is_over:
+            return
+        known.ending = True
+        known.pending.clear()
+        answers = await takeover.close_job(self, known)
+        known.ending = False
+        if known.moved_to is not None:
+            return
+        answer = job.Answer(
+            known.key, job.State.FAILED, reason, retry_after_ms, answers
+        )
+        self._answer(known, answer)
+
+    def _answer(self, known, answer):
+        known.answer = answer
+        self._journal.record(
+            audit.Kind.ANSWERED, known.key, state=str(answer.state), reason=answer.reason
+        )
+        self._release_all(known)
+        self._finish(known)
+        self._held_bytes += sum(len(task.result) for task in answer.tasks)
+        self._bound_results()
+
+    def _finish(self, known):
+        known.deadline_handle.cancel()
+        known.pending.clear()
+        known.tasks = ()
+        known.submission = dataclasses.replace(known.submission, tasks=())
+        self._queue.discard(known)
+        known.wake()
+
+    def _release_all(self, known):
+        for index, task in enumerate(known.tasks):
+            for attempt in list(task.attempts):
+                self.release(known, index, attempt)
+
+    def _bound_results(self):
+        if self._held_bytes <= self._limits.result_bytes:
+            return
+        for known in self._jobs.values():
+            if self._held_bytes <= self._limits.result_bytes // 2:
+                return
+            if known.answer is not None:
+                self._held_bytes -= known.drop_bodies()
+
+    def _raise_floor(self, floor_ms):
+        if floor_ms <= self._floor_ms:
+            return
+        self._floor_ms = floor_ms
+        passed = [k for k, known in self._jobs.items() if self._is_past(known)]
+        for key in passed:
+            known = self._jobs.pop(key)
+            if known.answer is not None:
+                self._held_bytes -= sum(len(task.result) for task in known.answer.tasks)
+
+    def _is_past(self, known):
+        return known.ticket.issued_ms < self._floor_ms and known.is_over
+
+
+def _unknown_job(key):
+    return problem.Problem(
+        kind=problem.Kind.UNKNOWN_JOB,
+        message=f"job {key} is not known here",
+        remedy="submit again with the same id",
+        place="id",
+        outcome=problem.Outcome.UNKNOWN,
+    )
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/owned.py
@@ -0,0 +1,131 @@
+"""Owned jobs: the record that the owner of a job keeps of it."""
+
+import collections
+
+from jujubeglade.core import job
+
+_ATTEMPTS_PER_GENERATION = 1000
+
+
+class OwnedTask:
+    """One task of an owned job."""
+
+    __slots__ = ("answer", "attempts", "attempts_made", "evidence", "placed_ms", "rejects", "task")
+
+    def __init__(self, task):
+        """Start with no attempt.
+
+        Args:
+          task: A Task.
+        """
+        self.task = task
+        # The attempts that are out, by number, with the worker that holds each.
+        self.attempts = {}
+        self.attempts_made = 0
+        self.rejects = 0
+        self.placed_ms = 0.0
+        self.answer = None
+        # What earlier attempts prove: a TaskOutcome, or None when nothing started.
+        self.evidence = None
+
+
+class OwnedJob:
+    """One job and what its owner knows."""
+
+    __slots__ = (
+        "_waiters",
+        "accepted_ms",
+        "answer",
+        "deadline_handle",
+        "ending",
+        "generation",
+        "moved_to",
+        "pending",
+        "ready",
+        "submission",
+        "tasks",
+        "ticket",
+        "unfinished",
+        "workers",
+    )
+
+    def __init__(self, submission, ticket, generation, accepted_ms):
+        """Take over a submission.
+
+        Args:
+          submission: A Submission.
+          ticket: Its Ticket.
+          generation: An integer, of this owner.
+          accepted_ms: A number, the monotonic time.
+        """
+        self.submission = submission
+        self.ticket = ticket
+        self.generation = generation
+        self.accepted_ms = accepted_ms
+        self.tasks = [OwnedTask(task) for task in submission.tasks]
+        self.pending = collections.deque()
+        self.unfinished = len(self.tasks)
+        self.workers = ()
+        self.ready = False
+        self.ending = False
+        self.moved_to = None
+        self.answer = None
+        self.deadline_handle = None
+        self._waiters = []
+
+    @property
+    def key(self):
+        """Return the job key."""
+        return self.ticket.key
+
+    @property
+    def deadline_ms(self):
+        """Return the monotonic time of the deadline."""
+        return self.accepted_ms + self.submission.deadline_ms
+
+    @property
+    def is_over(self):
+        """Tell whether nothing more is done for the job here."""
+        return self.ending or self.moved_to is not None or self.answer is not None
+
+    def next_attempt(self, index):
+        """Draw the number of a new attempt.
+
+        Args:
+          index: An integer, the task's place.
+        Returns:
+          An integer that no generation draws twice for the task.
+        """
+        owned = self.tasks[index]
+        owned.attempts_made += 1
+        return self.generation * _ATTEMPTS_PER_GENERATION + owned.attempts_made
+
+    def add_waiter(self, waiter):
+        """Have a future resolved when the job is over.
+
+        Args:
+          waiter: An asyncio.Future.
+        """
+        self._waiters.append(waiter)
+
+    def wake(self):
+        """Resolve all waiting futures."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def drop_bodies(self):
+        """Free payloads and results, keeping what became of each task.
+
+        Returns:
+          An integer, the bytes freed.
+        """
+        freed = sum(len(task.result) for task in self.answer.tasks)
+        kept = tuple(
+            job.TaskAnswer(task.outcome, b"", "the result is no longer held")
+            for task in self.answer.tasks
+        )
+        reason = "the results are no longer held"
+        self.answer = job.Answer(self.key, job.State.FAILED, reason, 0, kept)
+        return freed
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/uplink.py
@@ -0,0 +1,114 @@
+"""Uplinks: the streams from an agent to the entries.
+
+One task for each entry dials it, sends heartbeats, applies the configuration and
+the permits that come back, and serves what the entry asks of the home.
+"""
+
+import asyncio
+
+from jujubeglade.core import clock, link, member, problem, routing
+
+_REDIAL_MS = 300
+MAX_MISSED_MS = 2000
+
+
+class Uplink:
+    """The stream to one entry."""
+
+    __slots__ = ("_address", "_agent", "_heard_ms", "_link", "_serve")
+
+    def __init__(self, agent, address):
+        """Start without a link.
+
+        Args:
+          agent: The Agent.
+          address: A pair of a host and a port.
+        """
+        self._agent = agent
+        self._address = address
+        self._link = None
+        self._heard_ms = 0.0
+        self._serve = {
+            routing.Submit: agent.home.submit,
+            routing.Query: agent.home.query,
+            routing.Cancel: agent.home.cancel,
+            routing.CancelTenant: agent.home.cancel_tenant,
+        }
+
+    @property
+    def link(self):
+        """Return the open link, or None."""
+        return self._link
+
+    async def run(self):
+        """Dial the entry and serve it, again and again."""
+        agent = self._agent
+        while True:
+            dialed = await link.dial(
+                self._address, agent.cluster_key, agent.identity, self
+            )
+            if dialed.is_ok():
+                await self._serve_link(dialed.ok_value)
+            await asyncio.sleep(clock.seconds(_REDIAL_MS))
+
+    def heartbeat(self):
+        """Send a heartbeat; close a link on which nothing is heard any more."""
+        if self._link is None:
+            return
+        agent = self._agent
+        now_ms = agent.clock.now_ms()
+        if now_ms - self._heard_ms > MAX_MISSED_MS:
+            self._link.close()
+            return
+        self._link.send(
+            member.Heartbeat(
+                now_ms,
+                agent.member(),
+                agent.executor.load(),
+                agent.executor.leaving,
+                agent.permits.revision,
+            )
+        )
+
+    def on_message(self, opened, body):
+        """Apply what the entry sends.
+
+        Args:
+          opened: The Link.
+          body: A Permit or a Configuration.
+        """
+        self._heard_ms = self._agent.clock.now_ms()
+        if isinstance(body, member.Permit):
+            self._agent.permits.grant(body)
+            self._agent.on_permit()
+        elif isinstance(body, member.Configuration):
+            if self._agent.permits.apply(body):
+                self._agent.on_configuration()
+                # The entry learns of the revision at once, and grants under it.
+                self.heartbeat()
+
+    async def on_request(self, opened, body):
+        """Serve what the entry asks.
+
+        Args:
+          opened: The Link.
+          body: A routing message.
+        Returns:
+          The answer's body, or a Problem.
+        """
+        self._heard_ms = self._agent.clock.now_ms()
+        serve = self._serve.get(type(body))
+        if serve is None:
+            return problem.Problem(
+                problem.Kind.FRAME, "unknown question", "run the same version"
+            )
+        return await serve(body)
+
+    async def _serve_link(self, opened):
+        self._link = opened
+        self._heard_ms = self._agent.clock.now_ms()
+        self.heartbeat()
+        try:
+            await opened.run()
+        finally:
+            self._link = None
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/worker.py
@@ -0,0 +1,152 @@
+"""Workers: the agents on which a home places tasks.
+
+A `Worker` is the home's view of one candidate: the link to it, the attempts it
+holds for this home, how busy it says it is, and how it has done lately. One task
+for each worker keeps its link up while the worker is in use.
+"""
+
+import asyncio
+
+from jujubeglade.core import clock, link
+
+_REDIAL_FIRST_MS = 50
+_REDIAL_LAST_MS = 1000
+_FAILED_DIALS_BEFORE_LOST = 2
+
+
+class Worker:
+    """One candidate, as a home sees it."""
+
+    __slots__ = (
+        "_connected",
+        "_failed_dials",
+        "_foreign",
+        "_link",
+        "_paused_until_ms",
+        "_slots",
+        "gone",
+        "member",
+        "outstanding",
+        "used_ms",
+    )
+
+    def __init__(self, member, used_ms):
+        """Start without a link.
+
+        Args:
+          member: A Member.
+          used_ms: A number, the monotonic time of its last use.
+        """
+        self.member = member
+        self.outstanding = set()
+        self.gone = False
+        self.used_ms = used_ms
+        self._link = None
+        self._failed_dials = 0
+        self._foreign = 0
+        self._slots = member.slots
+        self._paused_until_ms = 0.0
+        self._connected = asyncio.Event()
+
+    @property
+    def link(self):
+        """Return the open link, or None."""
+        return self._link
+
+    @property
+    def may_connect(self):
+        """Tell whether a link exists or may still come about soon."""
+        if self.gone:
+            return False
+        return self._link is not None or self._failed_dials < _FAILED_DIALS_BEFORE_LOST
+
+    @property
+    def slots(self):
+        """Return how many tasks the worker runs at once."""
+        return self._slots
+
+    @property
+    def backlog(self):
+        """Return how many tasks it holds, from this home and from others."""
+        return len(self.outstanding) + self._foreign
+
+    def is_paused(self, now_ms):
+        """Tell whether the worker asked to be left alone for now.
+
+        Args:
+          now_ms: A number, the monotonic time.
+        """
+        return now_ms < self._paused_until_ms
+
+    def pause(self, until_ms):
+        """Place nothing on the worker for a while.
+
+        Args:
+          until_ms: A number, the monotonic time at which the pause ends.
+        """
+        self._paused_until_ms = max(self._paused_until_ms, until_ms)
+
+    def note_load(self, load):
+        """Take over what the worker says of itself.
+
+        Args:
+          load: A Load.
+        """
+        total = load.queued + load.running
+        self._slots = load.slots
+        self._foreign = max(0, total - len(self.outstanding))
+
+    async def connected(self, timeout_ms):
+        """Wait for an open link.
+
+        Args:
+          timeout_ms: A number.
+        Returns:
+          A Link, or None when none came about in time.
+        """
+        if self._link is None and not self.gone:
+            try:
+                async with asyncio.timeout(clock.seconds(timeout_ms)):
+                    await self._connected.wait()
+            except TimeoutError:
+                return None
+        return self._link
+
+    async def keep_link(self, cluster_key, identity, home):
+        """Dial the worker, run its link, and dial again; one task a worker.
+
+        Args:
+          cluster_key: Bytes.
+          identity: An Identity, of this agent.
+          home: The Home, told of the link's opening and closing.
+        """
+        delay_ms = _REDIAL_FIRST_MS
+        while not self.gone:
+            dialed = await link.dial(self.member.address, cluster_key, identity, home)
+            if dialed.is_err():
+                self._failed_dials += 1
+                home.on_worker_changed(self)
+                await asyncio.sleep(clock.seconds(delay_ms))
+                delay_ms = min(2 * delay_ms, _REDIAL_LAST_MS)
+                continue
+            delay_ms = _REDIAL_FIRST_MS
+            await self._run(dialed.ok_value, home)
+        self._connected.set()
+
+    async def _run(self, opened, home):
+        if opened.remote.incarnation != self.member.incarnation:
+            # Another life of the agent: the one that the tickets name is over.
+            self.gone = True
+            opened.close()
+            home.on_worker_lost(self)
+            return
+        self._link = opened
+        self._failed_dials = 0
+        self._connected.set()
+        home.on_worker_changed(self)
+        try:
+            await opened.run()
+        finally:
+            self._connected.clear()
+            self._link = None
+            home.on_worker_lost(self)
