--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 120
 SEED ?= 1
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format docs
 
 setup: $(VENV)/ready
 
@@ -28,3 +28,6 @@
 format: setup
 	$(BIN)/ruff format packages features
 	$(BIN)/ruff check --fix packages features
+
+docs: setup
+	$(BIN)/python -m jujubeglade.core.settings_page > docs/SETTINGS.md
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/_settings_check.py
@@ -0,0 +1,289 @@
+"""The check of settings: from a mapping to a record, or to all its problems.
+
+A reader for each kind of rule is registered by the `reader` decorator. Readers
+report what is wrong and go on, so that one run shows every mistake of a file.
+"""
+
+import dataclasses
+import difflib
+import ipaddress
+import re
+
+from jujubeglade.core import _settings_records as records
+from jujubeglade.core import _settings_rules as rules
+from jujubeglade.core import problem
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]*")
+_ADDRESS = re.compile(r"(?:\[(?P<v6>[^\]]+)\]|(?P<v4>[^:\[\]]+)):(?P<port>[0-9]{1,5})")
+_NEAR = 0.75
+_ADDRESS_REMEDY = 'write an IP number and a port, such as "10.0.0.1:7100"'
+
+_readers = {}
+_relations = {}
+
+
+class _Unreadable:
+    """The type of the value of a setting that has problems."""
+
+
+_UNREADABLE = _Unreadable()
+
+
+class Report:
+    """The problems found so far in one source."""
+
+    __slots__ = ("_problems", "_source")
+
+    def __init__(self, source):
+        """Start without problems.
+
+        Args:
+          source: A string, the file's name.
+        """
+        self._source = source
+        self._problems = []
+
+    @property
+    def problems(self):
+        """All problems, as a tuple of Problems."""
+        return tuple(self._problems)
+
+    def add(self, path, cause, remedy):
+        """Record a problem.
+
+        Args:
+          path: A string, the key path; empty for the whole file.
+          cause: A string.
+          remedy: A string.
+
+        Returns:
+          The mark of an unreadable value, for a reader to return.
+        """
+        place = f"{self._source}: {path}" if path else self._source
+        kind = problem.Kind.SETTINGS
+        self._problems.append(problem.Problem(kind, cause, remedy, place))
+        return _UNREADABLE
+
+
+def reader(kind):
+    """Register the reader of a kind of rule.
+
+    Args:
+      kind: A string.
+
+    Returns:
+      A decorator of functions of (value, rule, path, report) that return the
+      value read, or what `Report.add` returned.
+    """
+
+    def register(function):
+        _readers[kind] = function
+        return function
+
+    return register
+
+
+def relation(record, *needs):
+    """Register a check of how fields of one record go together.
+
+    Args:
+      record: A dataclass.
+      needs: Strings, the fields that must be readable for the check to run.
+
+    Returns:
+      A decorator of functions of (report, path, **fields).
+    """
+
+    def register(function):
+        _relations.setdefault(record, []).append((needs, function))
+        return function
+
+    return register
+
+
+def read_record(record, mapping, path, report):
+    """Read a mapping as a record.
+
+    Args:
+      record: A dataclass whose fields carry rules.
+      mapping: The value found.
+      path: A string, the key path of the record; empty at the top.
+      report: A Report.
+
+    Returns:
+      The record, or the mark of an unreadable value.
+    """
+    if not isinstance(mapping, dict):
+        return report.add(path, f"{_shown(mapping)} isn't an object", "write { … }")
+    fields = {field.name: field for field in dataclasses.fields(record)}
+    _report_unknown(mapping, fields, path, report)
+    values = {
+        name: _read_field(field, mapping, _join(path, name), report)
+        for name, field in fields.items()
+    }
+    readable = {
+        name: value for name, value in values.items() if value is not _UNREADABLE
+    }
+    _relate(record, readable, path, report)
+    return record(**values) if len(readable) == len(values) else _UNREADABLE
+
+
+def _report_unknown(mapping, fields, path, report):
+    """Report the keys that no field has, with the nearest name."""
+    for key in mapping:
+        if key in fields:
+            continue
+        near = difflib.get_close_matches(str(key), fields, 1, _NEAR)
+        remedy = f"did you mean {near[0]}?" if near else "remove it"
+        report.add(_join(path, key), _why_unknown(key, path), remedy)
+
+
+def _why_unknown(key, path):
+    """Tell a setting of the other role from a name that no role knows."""
+    for role, record in records.ROLES.items():
+        names = {field.name for field in dataclasses.fields(record)}
+        if not path and key in names:
+            return f"a setting of role {role} only"
+    return "no such setting"
+
+
+def _read_field(field, mapping, path, report):
+    """Read one field, or its default."""
+    rule = rules.rule_of(field)
+    if field.name in mapping:
+        return _readers[rule.kind](mapping[field.name], rule, path, report)
+    if rules.is_required(field):
+        return report.add(path, "missing", _first_sentence(rule.doc))
+    if field.default is not dataclasses.MISSING:
+        return field.default
+    return field.default_factory()
+
+
+def _relate(record, readable, path, report):
+    """Run the checks registered for the record and for its bases."""
+    for base in reversed(record.__mro__):
+        for needs, check in _relations.get(base, ()):
+            if all(name in readable for name in needs):
+                check(report, path, **{name: readable[name] for name in needs})
+
+
+def _first_sentence(doc):
+    return f"add it ({doc[0].lower()}{doc[1:].rstrip('.')})"
+
+
+def _join(path, key):
+    return f"{path}.{key}" if path else str(key)
+
+
+def _shown(value):
+    """Render a value, short, as the file writes it."""
+    words = {True: "true", False: "false", None: "null"}
+    if isinstance(value, bool) or value is None:
+        return words[value]
+    if isinstance(value, dict | list):
+        return "an object" if isinstance(value, dict) else "a list"
+    return f'"{value[:40]}"' if isinstance(value, str) else str(value)
+
+
+@reader("integer")
+def _read_integer(value, rule, path, report):
+    remedy = f"write a whole number from {rule.low} to {rule.high}"
+    if type(value) is not int:
+        return report.add(path, f"{_shown(value)} isn't a whole number", remedy)
+    if not rule.low <= value <= rule.high:
+        return report.add(path, f"{value} is out of range", remedy)
+    return value
+
+
+@reader("name")
+def _read_name(value, rule, path, report):
+    remedy = f"write {rule.low} to {rule.high} letters, digits, dots or dashes"
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        return report.add(path, f"{_shown(value)} isn't a name", remedy)
+    if len(value) > rule.high:
+        return report.add(path, f"a name of {len(value)} characters", remedy)
+    return value
+
+
+@reader("choice")
+def _read_choice(value, rule, path, report):
+    if value in rule.choices:
+        return value
+    near = difflib.get_close_matches(str(value), rule.choices, 1)
+    hint = f"did you mean {near[0]}? " if near else ""
+    remedy = f"{hint}write one of {', '.join(rule.choices)}"
+    return report.add(path, f"{_shown(value)} isn't known", remedy)
+
+
+@reader("secret")
+def _read_secret(value, rule, path, report):
+    remedy = f"write a string of {rule.low} to {rule.high} characters"
+    if not isinstance(value, str):
+        return report.add(path, "not a string", remedy)
+    if not rule.low <= len(value) <= rule.high:
+        return report.add(path, f"a length of {len(value)}", remedy)
+    return value
+
+
+@reader("secrets")
+def _read_secrets(value, rule, path, report):
+    return _read_names(value, rule, path, report, _read_secret)
+
+
+@reader("peers")
+def _read_peers(value, rule, path, report):
+    addresses = _read_names(value, rule, path, report, _read_address)
+    if addresses is _UNREADABLE:
+        return _UNREADABLE
+    if not addresses:
+        return report.add(path, "empty", "name one entry at least")
+    return tuple(
+        records.EntryAddress(name, address.host, address.port)
+        for name, address in addresses.items()
+    )
+
+
+def _read_names(value, rule, path, report, read_item):
+    """Read a mapping from names to items."""
+    if not isinstance(value, dict):
+        return report.add(path, f"{_shown(value)} isn't an object", "write { … }")
+    name_rule = rules.Rule("name", "", 1, 63)
+    items = {}
+    for name, item in value.items():
+        at = _join(path, name)
+        read_name = _read_name(name, name_rule, at, report)
+        items[read_name] = read_item(item, rule, at, report)
+    return _UNREADABLE if _UNREADABLE in (*items, *items.values()) else items
+
+
+@reader("listener")
+@reader("peer")
+def _read_address(value, rule, path, report):
+    found = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
+    if not found:
+        cause = f"{_shown(value)} isn't an address"
+        return report.add(path, cause, _ADDRESS_REMEDY)
+    host = found["v6"] or found["v4"]
+    port = int(found["port"])
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return report.add(path, f'"{host}" isn\'t an IP number', _ADDRESS_REMEDY)
+    if not rule.low <= port <= rule.high:
+        remedy = f"write a port from {rule.low} to {rule.high}"
+        return report.add(path, f"port {port} is out of range", remedy)
+    return records.Address(host, port)
+
+
+@reader("loopback")
+def _read_loopback(value, rule, path, report):
+    address = _read_address(value, rule, path, report)
+    if address is _UNREADABLE or ipaddress.ip_address(address.host).is_loopback:
+        return address
+    remedy = 'write a loopback address, such as "127.0.0.1:7300"'
+    return report.add(path, f"{address.host} can be reached from outside", remedy)
+
+
+@reader("record")
+def _read_nested(value, rule, path, report):
+    return read_record(rule.record, value, path, report)
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/_settings_rules.py
@@ -0,0 +1,198 @@
+"""The rules that a setting's value must meet.
+
+Each field of a settings record carries one `Rule` in its metadata. The check of
+a file and the reference page both read the rule, so they can't disagree:
+
+    window_ms: int = integer(1000, 600000, "How long a ticket is good.", 120000)
+"""
+
+import dataclasses
+
+_RULE = "rule"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """What a value must look like.
+
+    Attributes:
+      kind: A string, the name of the reader in `_settings_check`.
+      doc: A string, the sentence of the reference page.
+      low: An integer, the least value or the least length.
+      high: An integer, the greatest value or the greatest length.
+      choices: A tuple of strings, the only values allowed; empty means any.
+      record: A dataclass, the type of a nested record; None elsewhere.
+    """
+
+    kind: str
+    doc: str
+    low: int = 0
+    high: int = 0
+    choices: tuple = ()
+    record: type | None = None
+
+
+def rule_of(field):
+    """Find the rule of a record's field.
+
+    Args:
+      field: A dataclasses.Field made by a function of this module.
+
+    Returns:
+      A Rule.
+    """
+    return field.metadata[_RULE]
+
+
+def is_required(field):
+    """Tell whether a file must give the field.
+
+    Args:
+      field: A dataclasses.Field.
+
+    Returns:
+      A boolean.
+    """
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _field(rule, **options):
+    return dataclasses.field(metadata={_RULE: rule}, **options)
+
+
+def _options(default):
+    return {} if default is dataclasses.MISSING else {"default": default}
+
+
+def integer(low, high, doc, default):
+    """Declare a whole number within bounds.
+
+    Args:
+      low: An integer, the least value allowed.
+      high: An integer, the greatest value allowed.
+      doc: A string, the sentence of the reference page.
+      default: An integer.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("integer", doc, low, high), default=default)
+
+
+def name(doc):
+    """Declare a required name of letters, digits, dots and dashes.
+
+    Args:
+      doc: A string, the sentence of the reference page.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("name", doc, 1, 63))
+
+
+def choice(choices, doc, default=dataclasses.MISSING):
+    """Declare one word of a list.
+
+    Args:
+      choices: A tuple of strings.
+      doc: A string, the sentence of the reference page.
+      default: A string; without one the field is required.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("choice", doc, choices=choices), **_options(default))
+
+
+def secret(low, doc):
+    """Declare a required string that no message or log line may show.
+
+    Args:
+      low: An integer, the least number of characters.
+      doc: A string, the sentence of the reference page.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("secret", doc, low, 512), repr=False)
+
+
+def secrets(low, doc):
+    """Declare a required mapping of names to secrets.
+
+    Args:
+      low: An integer, the least number of characters of a secret.
+      doc: A string, the sentence of the reference page.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("secrets", doc, low, 512), repr=False)
+
+
+def listener(doc, default=dataclasses.MISSING):
+    """Declare an address to listen on; port 0 lets the system choose.
+
+    Args:
+      doc: A string, the sentence of the reference page.
+      default: None for a field that may be absent.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("listener", doc, 0, 65535), **_options(default))
+
+
+def loopback(doc):
+    """Declare a required address on the loopback network.
+
+    Args:
+      doc: A string, the sentence of the reference page.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("loopback", doc, 0, 65535))
+
+
+def peer(doc):
+    """Declare a required address of another process.
+
+    Args:
+      doc: A string, the sentence of the reference page.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("peer", doc, 1, 65535))
+
+
+def peers(doc):
+    """Declare a required mapping of names to addresses.
+
+    Args:
+      doc: A string, the sentence of the reference page.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("peers", doc, 1, 65535))
+
+
+def nested(record, doc, *, required):
+    """Declare a record within the record.
+
+    Args:
+      record: A dataclass whose fields carry rules.
+      doc: A string, the sentence of the reference page.
+      required: A boolean; False lets every field take its default.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    options = {} if required else {"default_factory": record}
+    return _field(Rule("record", doc, record=record), **options)
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/settings.py
@@ -0,0 +1,127 @@
+"""Checked settings of a process.
+
+A process reads one file of JSON with comments. A file is read as a whole: either
+it gives a frozen record, or every problem found in it at once.
+
+    match settings.load("entry-1.json5"):
+        case result.Ok(found): ...
+        case result.Err(problems): ...
+
+docs/SETTINGS.md is rendered from the same fields by `settings_page`.
+"""
+
+import dataclasses
+import re
+
+import json5
+import result
+
+from jujubeglade.core import _settings_check as check
+from jujubeglade.core import _settings_records as records
+from jujubeglade.core import _settings_relations as relations
+
+Address = records.Address
+AgentSettings = records.AgentSettings
+EntryAddress = records.EntryAddress
+EntrySettings = records.EntrySettings
+Limits = records.Limits
+Settings = records.Settings
+Store = records.Store
+
+# Importing the relations registers them.
+_RELATIONS = relations
+
+_MAX_FILE_BYTES = 1024 * 1024
+_LINE = re.compile(r"^<string>:(?P<line>\d+) (?P<cause>.*)$", re.DOTALL)
+
+
+def load(path):
+    """Read and check a settings file.
+
+    Args:
+      path: A string or a pathlib.Path.
+
+    Returns:
+      A Result: Ok of EntrySettings or AgentSettings, or Err of a tuple of
+      Problems, whose places name the file and the key path.
+    """
+    report = check.Report(str(path))
+    try:
+        with open(path, "rb") as file:
+            data = file.read(_MAX_FILE_BYTES + 1)
+    except OSError as error:
+        report.add("", f"can't be read: {error.strerror}", "check the path and rights")
+        return result.Err(report.problems)
+    return loads(data, str(path))
+
+
+def loads(data, source):
+    """Check the bytes of a settings file.
+
+    Args:
+      data: Bytes, JSON with comments in UTF-8.
+      source: A string, the file's name.
+
+    Returns:
+      A Result as `load` gives it.
+    """
+    report = check.Report(source)
+    if len(data) > _MAX_FILE_BYTES:
+        report.add("", "longer than a megabyte", "name a settings file")
+        return result.Err(report.problems)
+    try:
+        mapping = json5.loads(data.decode("utf-8"), allow_duplicate_keys=False)
+    except UnicodeDecodeError as error:
+        report.add("", f"byte {error.start} isn't UTF-8", "save the file as UTF-8")
+        return result.Err(report.problems)
+    except RecursionError:
+        report.add("", "nested too deep", "correct the JSON")
+        return result.Err(report.problems)
+    except ValueError as error:
+        _report_json(report, str(error).replace("\n", "end of line"))
+        return result.Err(report.problems)
+    return from_mapping(mapping, source)
+
+
+def from_mapping(mapping, source):
+    """Check settings that were built in the program.
+
+    Args:
+      mapping: A dict, as a file would give it.
+      source: A string, the place that problems name.
+
+    Returns:
+      A Result as `load` gives it.
+    """
+    report = check.Report(source)
+    role = mapping.get("role") if isinstance(mapping, dict) else None
+    record = records.ROLES.get(role) if isinstance(role, str) else None
+    if record is None:
+        record = records.Settings
+        mapping = _without_roles(mapping)
+    found = check.read_record(record, mapping, "", report)
+    if report.problems:
+        return result.Err(report.problems)
+    return result.Ok(found)
+
+
+def _without_roles(mapping):
+    """Leave out the settings of one role only, when the role isn't known."""
+    if not isinstance(mapping, dict):
+        return mapping
+    common = {field.name for field in dataclasses.fields(records.Settings)}
+    known = {
+        field.name
+        for record in records.ROLES.values()
+        for field in dataclasses.fields(record)
+    }
+    return {key: mapping[key] for key in mapping if key not in known - common}
+
+
+def _report_json(report, message):
+    """Report what the JSON parser said, with the line where it said it."""
+    found = _LINE.match(message)
+    if not found:
+        report.add("", message, "correct the JSON")
+        return
+    report.add(f"line {found['line']}", found["cause"], "correct the JSON here")
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/settings_page.py
@@ -0,0 +1,92 @@
+"""The reference page of the settings, rendered from their fields.
+
+python -m jujubeglade.core.settings_page > docs/SETTINGS.md
+"""
+
+import dataclasses
+import sys
+
+from jujubeglade.core import _settings_records as records
+from jujubeglade.core import _settings_rules as rules
+
+_OPENING = """\
+# Settings
+
+A process reads one file of JSON with comments, named on its command line.
+`jujubeglade check FILE...` shows every mistake of the files at once. This page is
+rendered from the fields that the check reads (`make docs`).
+
+Addresses are written `"HOST:PORT"` with an IP number. Port 0 of an address to listen
+on lets the system choose one.
+"""
+
+_SHAPES = {
+    "integer": "whole number",
+    "name": "name",
+    "choice": "word",
+    "secret": "secret",
+    "secrets": "names to secrets",
+    "listener": "address",
+    "peer": "address",
+    "loopback": "loopback address",
+    "peers": "names to addresses",
+    "record": "object",
+}
+
+
+def render():
+    """Render the page.
+
+    Returns:
+      A string of markdown.
+    """
+    common = dataclasses.fields(records.Settings)
+    sections = [_OPENING, _section("Every process", common)]
+    for role, record in records.ROLES.items():
+        fields = dataclasses.fields(record)
+        own = [field for field in fields if field.name not in _names(common)]
+        sections.append(_section(f"Role `{role}`", own))
+    sections.append(_section("`store`", dataclasses.fields(records.Store)))
+    sections.append(_section("`limits`", dataclasses.fields(records.Limits)))
+    return "\n".join(sections)
+
+
+def _names(fields):
+    return {field.name for field in fields}
+
+
+def _section(title, fields):
+    """Render one table."""
+    rows = [_row(field) for field in fields]
+    head = ["| setting | value | default | meaning |", "|---|---|---|---|"]
+    return "\n".join([f"## {title}", "", *head, *rows, ""])
+
+
+def _row(field):
+    rule = rules.rule_of(field)
+    return f"| `{field.name}` | {_value(rule)} | {_default(field)} | {rule.doc} |"
+
+
+def _value(rule):
+    """Say what may be written."""
+    shape = _SHAPES[rule.kind]
+    if rule.choices:
+        return ", ".join(f"`{choice}`" for choice in rule.choices)
+    if rule.kind == "integer":
+        return f"{rule.low} to {rule.high}"
+    if rule.kind in ("secret", "secrets"):
+        return f"{shape} of {rule.low} characters or more"
+    return shape
+
+
+def _default(field):
+    """Say what holds when the setting is absent."""
+    if rules.is_required(field):
+        return "required"
+    if field.default is dataclasses.MISSING or field.default is None:
+        return ""
+    return f"`{field.default}`"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(render())
