--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -53,22 +53,26 @@
         _KIB, 64 * _MIB, "Largest body of an HTTP request.", 4 * _MIB
     )
     max_tasks_per_job: int = rules.integer(
-        1, 5500, "Most tasks that one job may have.", 550
+        1, 5500, "Most tasks that one job may have.", 550, live=True
     )
     max_payload_bytes: int = rules.integer(
-        1, 16 * _MIB, "Largest payload of one task.", 256 * _KIB
+        1, 16 * _MIB, "Largest payload of one task.", 256 * _KIB, live=True
     )
     result_bytes: int = rules.integer(
-        1, 16 * _MIB, "Largest result of one task; a longer one fails it.", 256 * _KIB
+        1,
+        16 * _MIB,
+        "Largest result of one task; a longer one fails it.",
+        256 * _KIB,
+        live=True,
     )
     max_jobs: int = rules.integer(
-        1, 1_000_000, "Most jobs a process remembers at a time.", 20_000
+        1, 1_000_000, "Most jobs a process remembers at a time.", 20_000, live=True
     )
     max_queue_tasks: int = rules.integer(
-        1, 1_000_000, "Most tasks that wait in one agent's queue.", 5_500
+        1, 1_000_000, "Most tasks that wait in one agent's queue.", 5_500, live=True
     )
     max_connections: int = rules.integer(
-        1, 65_535, "Most connections a process accepts at a time.", 4_096
+        1, 65_535, "Most connections a process accepts at a time.", 4_096, live=True
     )
     window_ms: int = rules.integer(
         5_000, 3_600_000, "How long a ticket is good after its issue.", 120_000
@@ -83,19 +87,27 @@
         50, 30_000, "Longest wait for a connection to open.", 1_000
     )
     max_wait_ms: int = rules.integer(
-        0, 600_000, "Longest time a request may ask to wait for an answer.", 30_000
+        0,
+        600_000,
+        "Longest time a request may ask to wait for an answer.",
+        30_000,
+        live=True,
     )
     candidates: int = rules.integer(
         2, 64, "Agents that a ticket names for the tasks of a job.", 16
     )
     tickets_per_request: int = rules.integer(
-        1, 10_000, "Most tickets issued by one request.", 1_000
+        1, 10_000, "Most tickets issued by one request.", 1_000, live=True
     )
     audit_records: int = rules.integer(
         100, 1_000_000, "Audit records buffered while the store is away.", 10_000
     )
     drain_grace_ms: int = rules.integer(
-        0, 600_000, "How long a shutdown waits for requests in progress.", 30_000
+        0,
+        600_000,
+        "How long a shutdown waits for requests in progress.",
+        30_000,
+        live=True,
     )
 
 
--- a/packages/core/src/jujubeglade/core/_settings_rules.py
+++ b/packages/core/src/jujubeglade/core/_settings_rules.py
@@ -22,6 +22,7 @@
       high: An integer, the greatest value or the greatest length.
       choices: A tuple of strings, the only values allowed; empty means any.
       record: A dataclass, the type of a nested record; None elsewhere.
+      live: A boolean, True when operators may change the value by a command.
     """
 
     kind: str
@@ -30,6 +31,7 @@
     high: int = 0
     choices: tuple = ()
     record: type | None = None
+    live: bool = False
 
 
 def rule_of(field):
@@ -67,7 +69,7 @@
     return {} if default is dataclasses.MISSING else {"default": default}
 
 
-def integer(low, high, doc, default):
+def integer(low, high, doc, default, *, live=False):
     """Declare a whole number within bounds.
 
     Args:
@@ -75,11 +77,12 @@
       high: An integer, the greatest value allowed.
       doc: A string, the sentence of the reference page.
       default: An integer.
+      live: A boolean, True when operators may change it by a command.
 
     Returns:
       A dataclasses.Field.
     """
-    return _field(Rule("integer", doc, low, high), default=default)
+    return _field(Rule("integer", doc, low, high, live=live), default=default)
 
 
 def name(doc):
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/rules.py
@@ -0,0 +1,97 @@
+"""The rules that operators may choose from while the system runs.
+
+A rule decides one matter of policy, such as where a task is placed. Its choices
+are declared here, so that an entry can check a command without the code that
+carries them out; that code registers itself with `implements`:
+
+    @rules.implements("placement", "two_choices")
+    def place(...): ...
+
+    chosen = rules.implementation("placement", configuration_value)
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """One matter of policy.
+
+    Attributes:
+      name: A string.
+      choices: A tuple of strings; the first is the default.
+      doc: A string, the sentence of the reference page.
+    """
+
+    name: str
+    choices: tuple
+    doc: str
+
+    @property
+    def default(self):
+        """The choice in force until an operator sets another."""
+        return self.choices[0]
+
+
+_RULES = (
+    Rule(
+        "placement",
+        ("two_choices", "local_first", "random"),
+        "How a task's worker is chosen among the candidates.",
+    ),
+    Rule(
+        "hedging",
+        ("off", "late"),
+        "Whether a repeatable task that is late starts on a second worker.",
+    ),
+    Rule(
+        "admission",
+        ("deadline", "always"),
+        "Whether a job that can't meet its deadline is refused at once.",
+    ),
+    Rule(
+        "queueing",
+        ("fair", "arrival"),
+        "The order of waiting tasks: fair among tenants, or by arrival.",
+    ),
+)
+
+RULES = {rule.name: rule for rule in _RULES}
+
+_implementations = {}
+
+
+def implements(name, choice):
+    """Register the code of a choice.
+
+    Args:
+      name: A string, the rule.
+      choice: A string, one of the rule's choices.
+
+    Returns:
+      A decorator that returns its function or class unchanged.
+
+    Raises:
+      ValueError: The rule has no such choice.
+    """
+    if name not in RULES or choice not in RULES[name].choices:
+        raise ValueError(f"rule {name} has no choice {choice}; declare it in RULES")
+
+    def register(target):
+        _implementations[name, choice] = target
+        return target
+
+    return register
+
+
+def implementation(name, choice):
+    """Find the code of a choice.
+
+    Args:
+      name: A string, the rule.
+      choice: A string.
+
+    Returns:
+      What `implements` registered, or None.
+    """
+    return _implementations.get((name, choice))
--- a/packages/core/src/jujubeglade/core/settings.py
+++ b/packages/core/src/jujubeglade/core/settings.py
@@ -19,6 +19,7 @@
 from jujubeglade.core import _settings_check as check
 from jujubeglade.core import _settings_records as records
 from jujubeglade.core import _settings_relations as relations
+from jujubeglade.core import _settings_rules as rules
 
 Address = records.Address
 AgentSettings = records.AgentSettings
@@ -105,6 +106,30 @@
     return result.Ok(found)
 
 
+def live_limits():
+    """Name the limits that operators may change by a command.
+
+    Returns:
+      A tuple of strings.
+    """
+    fields = dataclasses.fields(Limits)
+    return tuple(field.name for field in fields if rules.rule_of(field).live)
+
+
+def limit_range(name):
+    """Find the bounds of a limit.
+
+    Args:
+      name: A string, a field of Limits.
+
+    Returns:
+      A pair of integers, the least and the greatest value allowed.
+    """
+    (field,) = (each for each in dataclasses.fields(Limits) if each.name == name)
+    rule = rules.rule_of(field)
+    return rule.low, rule.high
+
+
 def _without_roles(mapping):
     """Leave out the settings of one role only, when the role isn't known."""
     if not isinstance(mapping, dict):
--- a/packages/core/src/jujubeglade/core/settings_page.py
+++ b/packages/core/src/jujubeglade/core/settings_page.py
@@ -17,7 +17,8 @@
 rendered from the fields that the check reads (`make docs`).
 
 Addresses are written `"HOST:PORT"` with an IP number. Port 0 of an address to listen
-on lets the system choose one.
+on lets the system choose one. Operators may change the limits marked `set limit` by a
+command of [their language](LANGUAGE.md) too, which goes before the file.
 """
 
 _SHAPES = {
@@ -64,7 +65,8 @@
 
 def _row(field):
     rule = rules.rule_of(field)
-    return f"| `{field.name}` | {_value(rule)} | {_default(field)} | {rule.doc} |"
+    doc = f"{rule.doc} (`set limit`)" if rule.live else rule.doc
+    return f"| `{field.name}` | {_value(rule)} | {_default(field)} | {doc} |"
 
 
 def _value(rule):
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/query/commands.py
@@ -0,0 +1,182 @@
+"""The commands of operators, as immutable records.
+
+| verb               | records                                                     |
+|--------------------|-------------------------------------------------------------|
+| `submit`           | Submit                                                      |
+| `cancel`           | CancelJob, CancelTenant                                     |
+| `drain`, `restore` | DrainZone, DrainWorker, RestoreZone, RestoreWorker          |
+| `set`              | SetQuota, SetLimit, SetRule                                 |
+| `show`             | ShowJobs, ShowWorkers, ShowZones                            |
+| `show`             | ShowConfiguration, ShowCommands                             |
+| `why`, `explain`   | WhyJob, WhyTask, WhyRefusal, WhyCommand                     |
+
+Commands that change the configuration hold `if_revision`: an integer, the only
+revision on which the change may be made, or None for any.
+"""
+
+import dataclasses
+
+_record = dataclasses.dataclass(frozen=True, slots=True)
+
+
+@_record
+class Submit:
+    """Create a job of equal tasks.
+
+    Attributes:
+      service: A string, the service that runs the tasks.
+      payload: A JSON value, given to each task.
+      count: An integer, the number of tasks.
+      tenant: A string, the tenant charged for the job.
+      task_class: A string, the class of the tasks; may be empty.
+      deadline_ms: An integer; 0 means the default of the entry.
+      repeatable: A boolean, True when a task may run more than once.
+    """
+
+    service: str
+    payload: object
+    count: int
+    tenant: str
+    task_class: str = ""
+    deadline_ms: int = 0
+    repeatable: bool = False
+
+
+@_record
+class CancelJob:
+    """Cancel one job."""
+
+    job: str
+
+
+@_record
+class CancelTenant:
+    """Cancel every job of a tenant."""
+
+    tenant: str
+
+
+@_record
+class DrainZone:
+    """Take an availability zone out of service."""
+
+    zone: str
+    if_revision: int | None = None
+
+
+@_record
+class DrainWorker:
+    """Take a worker out of service."""
+
+    worker: str
+    if_revision: int | None = None
+
+
+@_record
+class RestoreZone:
+    """Bring an availability zone back."""
+
+    zone: str
+    if_revision: int | None = None
+
+
+@_record
+class RestoreWorker:
+    """Bring a worker back."""
+
+    worker: str
+    if_revision: int | None = None
+
+
+@_record
+class SetQuota:
+    """Set a tenant's quota.
+
+    Attributes:
+      tenant: A string.
+      starts_per_s: A float, task starts in a second.
+      weight: An integer, the tenant's share when tenants compete.
+      if_revision: See the module.
+    """
+
+    tenant: str
+    starts_per_s: float
+    weight: int = 1
+    if_revision: int | None = None
+
+
+@_record
+class SetLimit:
+    """Set a limit; the names are those of settings.live_limits()."""
+
+    name: str
+    value: int
+    if_revision: int | None = None
+
+
+@_record
+class SetRule:
+    """Choose a rule; the names are those of rules.RULES."""
+
+    name: str
+    value: str
+    if_revision: int | None = None
+
+
+@_record
+class ShowJobs:
+    """List jobs, of one tenant or in one state when these aren't empty."""
+
+    tenant: str = ""
+    state: str = ""
+
+
+@_record
+class ShowWorkers:
+    """List workers, of one availability zone when it isn't empty."""
+
+    zone: str = ""
+
+
+@_record
+class ShowZones:
+    """List availability zones."""
+
+
+@_record
+class ShowConfiguration:
+    """Show the configuration in force."""
+
+
+@_record
+class ShowCommands:
+    """List recent commands and their outcomes."""
+
+
+@_record
+class WhyJob:
+    """Explain what happened to a job."""
+
+    job: str
+
+
+@_record
+class WhyTask:
+    """Explain what happened to one task of a job."""
+
+    job: str
+    index: int
+
+
+@_record
+class WhyRefusal:
+    """Explain a refusal."""
+
+    refusal: str
+
+
+@_record
+class WhyCommand:
+    """Explain the outcome of a command."""
+
+    command: str
