Record what a process did, chained and bounded

Cause: every action taken or refused must later be shown as true, and no caller may wait for that.

A record costs one append; its hash is computed when the batch is sealed for sending. Ruled out: hashing at once, because a full buffer could then only drop records that the chain already passed through, and the caller would pay for it.

Conclusion: sealed records never change, so a batch may be sent twice; what the buffer drops becomes one gap that the chain runs through.

--- /dev/null
+++ b/packages/core/src/jujubeglade/core/_journal_buffer.py
@@ -0,0 +1,182 @@
+"""The bounded buffer of a process's audit records.
+
+`Journal.record` appends to the *open* end and returns. `Journal.pending` seals
+the oldest open records, that is, gives them their hash, and hands them to
+whoever sends them. Sealed records never change and stay until acknowledged, so
+sending them twice is harmless. When the buffer is full the oldest open records
+become one gap; as they were not sealed, the chain runs through the gap.
+
+| acknowledged | sealed      | open              |
+|--------------|-------------|-------------------|
+| forgotten    | 41 42 43    | gap 44-60, 61, 62 |
+"""
+
+import collections
+
+from jujubeglade.core import _journal_record
+
+_CAPACITY = 4096
+_MAX_RECORD_BYTES = 65536
+_OVERHEAD_BYTES = _journal_record.HASH_BYTES
+
+
+class Journal:
+    """The audit records of one process that no entry has stored yet."""
+
+    __slots__ = (
+        "_capacity",
+        "_clock",
+        "_gap",
+        "_incarnation",
+        "_key",
+        "_last_hash",
+        "_lost",
+        "_next_sequence",
+        "_open",
+        "_process",
+        "_sealed",
+    )
+
+    def __init__(self, process, incarnation, clock, capacity, key):
+        """Begin an empty journal; use `open_journal`."""
+        self._process = process
+        self._incarnation = incarnation
+        self._clock = clock
+        self._capacity = capacity
+        self._key = key
+        self._next_sequence = 1
+        self._last_hash = _journal_record.GENESIS_HASH
+        self._gap = None
+        self._lost = 0
+        self._open = collections.deque()
+        self._sealed = collections.deque()
+
+    @property
+    def process(self):
+        """The name of the process."""
+        return self._process
+
+    @property
+    def incarnation(self):
+        """The life of the process."""
+        return self._incarnation
+
+    @property
+    def backlog(self):
+        """How many records wait to be acknowledged."""
+        return len(self._open) + len(self._sealed) + (self._gap is not None)
+
+    @property
+    def lost(self):
+        """How many records were replaced by gaps so far."""
+        return self._lost
+
+    def record(self, kind, subject, **detail):
+        """Add a record; never waits and never fails.
+
+        Args:
+          kind: A Kind.
+          subject: A string, what the record is about.
+          **detail: Strings and integers.
+        """
+        entry = (self._next_sequence, self._clock.wall_ms(), kind, subject, detail)
+        self._next_sequence += 1
+        self._open.append(entry)
+        if len(self._open) + len(self._sealed) > self._capacity:
+            self._drop_oldest()
+
+    def pending(self, max_records, max_bytes):
+        """Seal and list the oldest records that are not acknowledged.
+
+        Args:
+          max_records: An integer, at most half of the capacity counts.
+          max_bytes: An integer; one record is returned even when it is larger.
+
+        Returns:
+          A tuple of Records, oldest first, each call beginning with the same one
+          until it is acknowledged.
+        """
+        limit = min(max_records, max(1, self._capacity // 2))
+        batch = []
+        budget = max_bytes
+        for record, size in self._sealed_and_more(limit):
+            if batch and size > budget:
+                break
+            batch.append(record)
+            budget -= size
+        return tuple(batch)
+
+    def acknowledge(self, sequence):
+        """Forget the records that are stored.
+
+        Args:
+          sequence: An integer, the sequence of the last stored record.
+        """
+        while self._sealed and self._sealed[0][0].sequence <= sequence:
+            self._sealed.popleft()
+
+    def close(self):
+        """Record that the journal ends here in order."""
+        self.record(_journal_record.Kind.CLOSED_JOURNAL, self._process)
+
+    def _sealed_and_more(self, limit):
+        """Yield sealed records with their sizes, sealing more up to a limit."""
+        for index in range(limit):
+            if index == len(self._sealed) and not self._seal_next():
+                return
+            yield self._sealed[index]
+
+    def _seal_next(self):
+        """Give the oldest open record its hash; say whether there was one."""
+        if self._gap is not None:
+            entry, self._gap = self._gap, None
+        elif self._open:
+            entry = self._open.popleft()
+        else:
+            return False
+        self._sealed.append(self._seal(entry))
+        return True
+
+    def _seal(self, entry):
+        """Make the Record of an open entry, with its size."""
+        fields = (self._process, self._incarnation, *entry)
+        digest, size = _journal_record.compute_hash(fields, self._last_hash, self._key)
+        if size > _MAX_RECORD_BYTES:
+            fields = (*fields[:-1], {"detail_dropped_bytes": size})
+            digest, size = _journal_record.compute_hash(
+                fields, self._last_hash, self._key
+            )
+        sealed = _journal_record.Record(*fields, self._last_hash, digest)
+        self._last_hash = digest
+        return sealed, size + _OVERHEAD_BYTES
+
+    def _drop_oldest(self):
+        """Replace the oldest open record by a gap, or widen the gap."""
+        sequence, wall_ms, *_ = self._open.popleft()
+        self._lost += 1
+        if self._gap is None:
+            detail = {"last": sequence, "last_ms": wall_ms}
+            kind = _journal_record.Kind.GAP
+            self._gap = (sequence, wall_ms, kind, self._process, detail)
+            return
+        detail = self._gap[-1]
+        detail["last"] = sequence
+        detail["last_ms"] = wall_ms
+
+
+def open_journal(process, incarnation, clock, capacity=_CAPACITY, key=b""):
+    """Open the journal of this process.
+
+    Args:
+      process: A string, the name of the process in its settings.
+      incarnation: A string, the life of the process.
+      clock: A Clock.
+      capacity: An integer, how many records may wait for an entry to store them.
+      key: Bytes, the cluster key; with it nobody else can make a valid record.
+
+    Returns:
+      A Journal whose first record says that it was opened.
+    """
+    journal = Journal(process, incarnation, clock, capacity, key)
+    journal.record(_journal_record.Kind.OPENED, process)
+    return journal
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/_journal_record.py
@@ -0,0 +1,144 @@
+"""Audit records, their kinds, and the hash that chains them.
+
+The hash of a record covers all its other fields and the hash of the record
+before it, under the cluster key. Whoever changes, removes or adds a record
+without the key breaks the chain at that place.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+import msgpack
+
+HASH_BYTES = 16
+GENESIS_HASH = bytes(HASH_BYTES)
+_MAX_KEY_BYTES = 64
+
+
+class Kind(enum.StrEnum):
+    """What a record says happened; the subject is a job unless said otherwise."""
+
+    # The home took the job.
+    ACCEPTED = "accepted"
+    # A request was refused; the detail names the problem and its outcome.
+    REFUSED = "refused"
+    # The home fixed the answer of the job: state and outcome of each task.
+    ANSWERED = "answered"
+    # The executor sent these attempts to its upstream.
+    STARTED = "started"
+    # The executor promised never to start these attempts.
+    REJECTED = "rejected"
+    # The upstream's answer to these attempts reached the executor.
+    FINISHED = "finished"
+    # A client or the deadline cancelled the job.
+    CANCELLED = "cancelled"
+    # The home placed these attempts after an earlier one failed.
+    RETRIED = "retried"
+    # The home placed these attempts beside one that was slow.
+    HEDGED = "hedged"
+    # A successor, or the home after a cut link, asked what had started.
+    CLAIMED = "claimed"
+    # The executor raised the job's fence and refuses older generations.
+    FENCED = "fenced"
+    # The executor closed the job: nothing of it starts here any more.
+    CLOSED = "closed"
+    # A zone or worker (the subject) was taken out of service.
+    DRAINED = "drained"
+    # A zone or worker (the subject) was brought back into service.
+    RESTORED = "restored"
+    # The process applied the configuration revision that the subject names.
+    CONFIGURATION = "configuration"
+    # An agent (the subject) joined those this process hears from.
+    MEMBER_JOINED = "member_joined"
+    # An agent (the subject) is no longer heard from.
+    MEMBER_LEFT = "member_left"
+    # An operator's command (the subject is its id) had this result.
+    COMMAND = "command"
+    # Records of this process, first to last, were dropped: the buffer was full.
+    GAP = "gap"
+    # The journal of this incarnation begins (the subject is the process).
+    OPENED = "opened"
+    # The journal of this incarnation ends in order (the subject is the process).
+    CLOSED_JOURNAL = "closed_journal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One audit record of one process.
+
+    Attributes:
+      process: A string, the name of the process in its settings.
+      incarnation: A string, the life of that process.
+      sequence: An integer, 1 for the first record of an incarnation; of a gap the
+        first sequence that is missing.
+      wall_ms: An integer, the wall clock of the process when it recorded.
+      kind: A Kind.
+      subject: A string, what the record is about: a job, zone, command or process.
+      detail: A mapping of strings to strings and integers.
+      previous_hash: Bytes, the hash of the record before.
+      hash: Bytes, the hash of this record.
+    """
+
+    process: str
+    incarnation: str
+    sequence: int
+    wall_ms: int
+    kind: Kind
+    subject: str
+    detail: dict
+    previous_hash: bytes
+    hash: bytes
+
+    @property
+    def source(self):
+        """The process and incarnation, as people read them."""
+        return f"{self.process}/{self.incarnation}"
+
+    @property
+    def last_sequence(self):
+        """The last sequence that the record stands for; differs only for a gap."""
+        if self.kind is Kind.GAP:
+            return self.detail.get("last", self.sequence)
+        return self.sequence
+
+
+def compute_hash(fields, previous_hash, key):
+    """Hash one record.
+
+    Args:
+      fields: A tuple of process, incarnation, sequence, wall_ms, kind, subject and
+        detail.
+      previous_hash: Bytes, the hash of the record before.
+      key: Bytes, the cluster key; may be empty.
+
+    Returns:
+      A pair of the hash and the size of the record in bytes.
+    """
+    *head, kind, subject, detail = fields
+    row = (*head, str(kind), subject, sorted(detail.items()), previous_hash)
+    body = msgpack.packb(row)
+    digest = hashlib.blake2b(body, digest_size=HASH_BYTES, key=key[:_MAX_KEY_BYTES])
+    return digest.digest(), len(body)
+
+
+def expected_hash(record, key):
+    """Compute the hash that the record ought to carry.
+
+    Args:
+      record: A Record.
+      key: Bytes, the cluster key; may be empty.
+
+    Returns:
+      Bytes.
+    """
+    fields = (
+        record.process,
+        record.incarnation,
+        record.sequence,
+        record.wall_ms,
+        record.kind,
+        record.subject,
+        record.detail,
+    )
+    return compute_hash(fields, record.previous_hash, key)[0]
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/journal.py
@@ -0,0 +1,39 @@
+"""Audit records of one process.
+
+A process records what it did and refused; entries gather the records and store
+them. The chain of hashes shows what was changed or removed since, and every
+loss has a name. See docs/RECORDS.md for kinds, encoding and cost.
+
+    records = journal.open_journal("agent-3", "ab12", clock, key=cluster_key)
+    records.record(journal.Kind.ACCEPTED, job, tenant="acme", tasks=100)
+    batch = records.pending(max_records=500, max_bytes=65536)
+    records.acknowledge(batch[-1].sequence)
+"""
+
+from jujubeglade.core._journal_attempts import AttemptLog, open_attempts
+from jujubeglade.core._journal_buffer import Journal, open_journal
+from jujubeglade.core._journal_codec import pack, unpack
+from jujubeglade.core._journal_record import Kind, Record
+from jujubeglade.core._journal_tasks import (
+    TaskEnd,
+    pack_attempts,
+    pack_ends,
+    unpack_attempts,
+    unpack_ends,
+)
+
+__all__ = [
+    "AttemptLog",
+    "Journal",
+    "Kind",
+    "Record",
+    "TaskEnd",
+    "open_attempts",
+    "open_journal",
+    "pack",
+    "pack_attempts",
+    "pack_ends",
+    "unpack",
+    "unpack_attempts",
+    "unpack_ends",
+]
