Check chains of records and tell a subject's story

Cause: an auditor asks what happened and why, and whether the records were lost or altered.

verify names gaps, missing, changed, forged, broken and reordered records and lost tails. explain tells what records say and closes with "recorded" or with each stretch that is missing.

Found on the way: the count `tasks` of an acceptance and the encoded outcomes of an answer shared a name; the latter is `ends` now. An altered detail can't make explain fail: it is told as altered.

--- a/features/journal.feature
+++ b/features/journal.feature
@@ -38,7 +38,7 @@
       | agent-1/aa | ran          | 1       |
     Then the ends of the tasks are encoded as
       """
-      tasks   !!"!
+      ends    !!"!
       legend  agent-1/aa ran 1;agent-2/bb may_have_run 2
       """
 
--- /dev/null
+++ b/features/steps/journal_verify_steps.py
@@ -0,0 +1,190 @@
+"""Steps for the checks of audit records and the stories they tell."""
+
+import dataclasses
+
+from behave import given, then, when
+from features.steps import journal_steps
+
+from jujubeglade.core import _journal_record, clock, journal
+
+_NOON_MS = 1_767_268_800_000
+_KEY = b"the cluster key"
+_OTHER_KEY = b"a guess"
+
+
+def open_source(context, source, capacity=1000):
+    process, incarnation = source.split("/")
+    context.journals[source] = journal.open_journal(
+        process, incarnation, context.clock, capacity, _KEY
+    )
+    return context.journals[source]
+
+
+def drain(records):
+    """Yield the records of a journal, acknowledging batch by batch."""
+    while batch := records.pending(1000, 10_000_000):
+        yield from batch
+        records.acknowledge(batch[-1].sequence)
+
+
+def collect(context):
+    """Take the records of all journals, once; tampering happens on the result."""
+    if not hasattr(context, "records"):
+        names = sorted(context.journals)
+        context.records = [r for name in names for r in drain(context.journals[name])]
+    return context.records
+
+
+def place_of(context, sequence, source):
+    records = collect(context)
+    return next(
+        index
+        for index, record in enumerate(records)
+        if (record.sequence, record.source) == (sequence, source)
+    )
+
+
+def forge(record, **changes):
+    """Change a record and give it a hash under another key."""
+    record = dataclasses.replace(record, **changes)
+    digest = _journal_record.expected_hash(record, _OTHER_KEY)
+    return dataclasses.replace(record, hash=digest)
+
+
+def advance_to(context, wall_ms):
+    context.clock.advance(wall_ms - context.clock.wall_ms())
+
+
+@given("audit records of these events")
+def step_events(context):
+    context.clock = clock.ManualClock(_NOON_MS)
+    context.journals = {}
+    for row in context.table:
+        if row["by"] not in context.journals:
+            open_source(context, row["by"])
+    for row in context.table:
+        advance_to(context, _NOON_MS + int(row["at ms"]))
+        detail = journal_steps.parse_detail(row["detail"])
+        detail = {
+            name: value.replace("~", " ") if isinstance(value, str) else value
+            for name, value in detail.items()
+        }
+        kind = journal.Kind(row["kind"])
+        context.journals[row["by"]].record(kind, row["subject"], **detail)
+
+
+@given("{source} recorded {count:d} jobs into a buffer of {capacity:d} records")
+def step_overflow(context, source, count, capacity):
+    records = open_source(context, source, capacity)
+    for number in range(count):
+        records.record(journal.Kind.ACCEPTED, f"other-{number}")
+
+
+@given("{wait:d} ms without events, after which every process marks its journal")
+def step_quiet(context, wait):
+    for _ in range(2):
+        context.clock.advance(wait)
+        for records in context.journals.values():
+            records.mark_when_quiet()
+
+
+@when("all journals are closed")
+@given("all journals are closed")
+def step_close_all(context):
+    for records in context.journals.values():
+        records.close()
+
+
+@when("all journals but {source} are closed")
+def step_close_but(context, source):
+    for name, records in context.journals.items():
+        if name != source:
+            records.close()
+
+
+@when("record {sequence:d} of {source} is removed")
+def step_remove(context, sequence, source):
+    del collect(context)[place_of(context, sequence, source)]
+
+
+@when("record {sequence:d} of {source} is changed")
+def step_change(context, sequence, source):
+    place = place_of(context, sequence, source)
+    record = collect(context)[place]
+    collect(context)[place] = dataclasses.replace(record, subject="job-3")
+
+
+@when("the detail of record {sequence:d} of {source} is made unreadable")
+def step_spoil(context, sequence, source):
+    place = place_of(context, sequence, source)
+    detail = {"ends": 7, "legend": "x", "attempts": 5, "first_ms": "x", "last_ms": 1e99}
+    record = dataclasses.replace(collect(context)[place], detail=detail)
+    collect(context)[place] = record
+
+
+@when("record {sequence:d} of {source} is moved behind record {other:d}")
+def step_move(context, sequence, source, other):
+    record = collect(context).pop(place_of(context, sequence, source))
+    collect(context).insert(place_of(context, other, source) + 1, record)
+
+
+@when("record {sequence:d} of {source} is repeated")
+def step_repeat(context, sequence, source):
+    collect(context).append(collect(context)[place_of(context, sequence, source)])
+
+
+@when("a second record {sequence:d} of {source} is added without the key")
+def step_add(context, sequence, source):
+    place = place_of(context, sequence, source)
+    forged = forge(collect(context)[place], subject="job-3")
+    collect(context).insert(place + 1, forged)
+
+
+@when("record {sequence:d} of {source} is replaced without the key")
+def step_replace(context, sequence, source):
+    place = place_of(context, sequence, source)
+    collect(context)[place] = forge(collect(context)[place], subject="job-3")
+
+
+@when("{source} is rewritten from record {sequence:d} without the key")
+def step_rewrite(context, source, sequence):
+    step_replace(context, sequence, source)
+    place = place_of(context, sequence, source)
+    for index in range(place + 1, len(collect(context))):
+        record = collect(context)[index]
+        if record.source != source:
+            return
+        previous = collect(context)[index - 1].hash
+        collect(context)[index] = forge(record, previous_hash=previous)
+
+
+@then("the auditor finds nothing")
+def step_finds_nothing(context):
+    findings = journal.verify(collect(context), _KEY)
+    assert findings == (), [str(finding) for finding in findings]
+
+
+@then("the auditor finds")
+def step_finds(context):
+    found = "; ".join(map(str, journal.verify(collect(context), _KEY)))
+    assert found == "; ".join(context.text.splitlines()), found
+
+
+@then("explaining {subject} says")
+def step_explains(context, subject):
+    lines = journal.explain(collect(context), subject, _KEY)
+    assert lines == context.text.splitlines(), "\n".join(lines)
+
+
+@then("explaining {subject} ends with")
+def step_explains_end(context, subject):
+    lines = journal.explain(collect(context), subject, _KEY)
+    expected = context.text.splitlines()
+    start = next((n for n, line in enumerate(lines) if "record " not in line), 0)
+    assert lines[-len(expected) :] == expected, "\n".join(lines[start:])
+
+
+@then("every journal was marked once")
+def step_marked_once(context):
+    marks = [r.source for r in collect(context) if r.kind is journal.Kind.MARK]
+    assert marks == sorted(context.journals), marks
--- a/packages/core/src/jujubeglade/core/_journal_buffer.py
+++ b/packages/core/src/jujubeglade/core/_journal_buffer.py
@@ -17,6 +17,7 @@
 
 _CAPACITY = 4096
 _MAX_RECORD_BYTES = 65536
+_QUIET_MS = 10_000
 _OVERHEAD_BYTES = _journal_record.HASH_BYTES
 
 
@@ -30,6 +31,8 @@
         "_incarnation",
         "_key",
         "_last_hash",
+        "_last_kind",
+        "_last_ms",
         "_lost",
         "_next_sequence",
         "_open",
@@ -46,6 +49,8 @@
         self._key = key
         self._next_sequence = 1
         self._last_hash = _journal_record.GENESIS_HASH
+        self._last_kind = None
+        self._last_ms = 0
         self._gap = None
         self._lost = 0
         self._open = collections.deque()
@@ -79,8 +84,11 @@
           subject: A string, what the record is about.
           **detail: Strings and integers.
         """
-        entry = (self._next_sequence, self._clock.wall_ms(), kind, subject, detail)
+        wall_ms = self._clock.wall_ms()
+        entry = (self._next_sequence, wall_ms, kind, subject, detail)
         self._next_sequence += 1
+        self._last_kind = kind
+        self._last_ms = wall_ms
         self._open.append(entry)
         if len(self._open) + len(self._sealed) > self._capacity:
             self._drop_oldest()
@@ -115,6 +123,15 @@
         while self._sealed and self._sealed[0][0].sequence <= sequence:
             self._sealed.popleft()
 
+    def mark_when_quiet(self):
+        """Record one mark after a quiet time; call every few seconds.
+
+        With it a reader knows that a process that does nothing has lost nothing.
+        """
+        marked = self._last_kind is _journal_record.Kind.MARK
+        if not marked and self._clock.wall_ms() - self._last_ms >= _QUIET_MS:
+            self.record(_journal_record.Kind.MARK, self._process)
+
     def close(self):
         """Record that the journal ends here in order."""
         self.record(_journal_record.Kind.CLOSED_JOURNAL, self._process)
--- a/packages/core/src/jujubeglade/core/_journal_record.py
+++ b/packages/core/src/jujubeglade/core/_journal_record.py
@@ -57,6 +57,8 @@
     COMMAND = "command"
     # Records of this process, first to last, were dropped: the buffer was full.
     GAP = "gap"
+    # Nothing was recorded for a while before this.
+    MARK = "mark"
     # The journal of this incarnation begins (the subject is the process).
     OPENED = "opened"
     # The journal of this incarnation ends in order (the subject is the process).
@@ -99,7 +101,8 @@
     def last_sequence(self):
         """The last sequence that the record stands for; differs only for a gap."""
         if self.kind is Kind.GAP:
-            return self.detail.get("last", self.sequence)
+            last = self.detail.get("last")
+            return last if isinstance(last, int) else self.sequence
         return self.sequence
 
 
--- a/packages/core/src/jujubeglade/core/_journal_tasks.py
+++ b/packages/core/src/jujubeglade/core/_journal_tasks.py
@@ -1,9 +1,9 @@
 """Compact text for what happened to the tasks of a job.
 
-An answer names the outcome of each task by one character of `tasks`, in the
+An answer names the outcome of each task by one character of `ends`, in the
 order of the tasks; the character is the position of the entry in `legend`:
 
-    tasks   !!"!
+    ends    !!"!
     legend  agent-1/aa ran 1;agent-2/bb may_have_run 2
 
 says that tasks 0, 1 and 3 ran on agent-1/aa at their first attempt and task 2
@@ -17,6 +17,7 @@
 _ASCII_CHARACTERS = 94
 _SECOND_PAGE = 0xA1
 _NOBODY = "-"
+_UNREADABLE = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,14 +42,14 @@
       ends: An iterable of TaskEnd, in the order of the tasks.
 
     Returns:
-      A dictionary with the strings `tasks` and `legend`, for a record's detail.
+      A dictionary with the strings `ends` and `legend`, for a record's detail.
     """
     legend = {}
     characters = [_character(legend.setdefault(end, len(legend))) for end in ends]
     entries = (
         f"{end.executor or _NOBODY} {end.outcome} {end.attempt}" for end in legend
     )
-    return {"tasks": "".join(characters), "legend": ";".join(entries)}
+    return {"ends": "".join(characters), "legend": ";".join(entries)}
 
 
 def unpack_ends(detail):
@@ -58,12 +59,16 @@
       detail: A mapping that `pack_ends` made, other keys beside it.
 
     Returns:
-      A tuple of TaskEnd, in the order of the tasks.
+      A tuple of TaskEnd, in the order of the tasks; empty when there are none or
+      the detail was altered so that it can't be read.
     """
-    if not detail.get("tasks"):
+    if not detail.get("ends"):
+        return ()
+    try:
+        legend = [_parse_end(entry) for entry in detail["legend"].split(";")]
+        return tuple(legend[_position(character)] for character in detail["ends"])
+    except _UNREADABLE:
         return ()
-    legend = [_parse_end(entry) for entry in detail["legend"].split(";")]
-    return tuple(legend[_position(character)] for character in detail["tasks"])
 
 
 def pack_attempts(attempts):
@@ -91,15 +96,22 @@
       text: A string that `pack_attempts` made.
 
     Returns:
-      A tuple of pairs of a task's index and the attempt's number.
+      A tuple of pairs of a task's index and the attempt's number; empty when the
+      text was altered so that it can't be read.
     """
-    attempts = []
+    try:
+        return tuple(_parse_attempts(text))
+    except _UNREADABLE:
+        return ()
+
+
+def _parse_attempts(text):
+    """Yield the attempts of a text."""
     for part in text.split():
         bounds, attempt = part.split(".")
         first, _, last = bounds.partition("-")
-        indexes = range(int(first), int(last or first) + 1)
-        attempts.extend((index, int(attempt)) for index in indexes)
-    return tuple(attempts)
+        for index in range(int(first), int(last or first) + 1):
+            yield index, int(attempt)
 
 
 def _range_text(first, last, attempt):
--- a/packages/core/src/jujubeglade/core/journal.py
+++ b/packages/core/src/jujubeglade/core/journal.py
@@ -13,6 +13,7 @@
 from jujubeglade.core._journal_attempts import AttemptLog, open_attempts
 from jujubeglade.core._journal_buffer import Journal, open_journal
 from jujubeglade.core._journal_codec import pack, unpack
+from jujubeglade.core._journal_explain import explain
 from jujubeglade.core._journal_record import Kind, Record
 from jujubeglade.core._journal_tasks import (
     TaskEnd,
@@ -21,13 +22,17 @@
     unpack_attempts,
     unpack_ends,
 )
+from jujubeglade.core._journal_verify import Finding, FindingKind, verify
 
 __all__ = [
     "AttemptLog",
+    "Finding",
+    "FindingKind",
     "Journal",
     "Kind",
     "Record",
     "TaskEnd",
+    "explain",
     "open_attempts",
     "open_journal",
     "pack",
@@ -36,4 +41,5 @@
     "unpack",
     "unpack_attempts",
     "unpack_ends",
+    "verify",
 ]
