Chain the time of the record before, so that a story needs only its own time

Cause: a story is read from the segments around the job's issue time; the first record found there of each process has an unread predecessor, and without its time that predecessor might belong to the story.

Ruled out: reading backwards until the predecessor is found (an idle agent's may be hours old); a mark of every idle agent each minute (a segment a minute for ever on idle sites). A run of packed records names the time once, so it costs no bytes for each record.

--- a/features/journal_verify.feature
+++ b/features/journal_verify.feature
@@ -139,3 +139,12 @@
       """
       not recorded; gap in entry-1/ee from 2 to 2
       """
+
+  Scenario: Records from before the story are not needed to tell it
+    Given 60000 ms later agent-1/aa, which had been quiet, answers job-5
+    And all journals are closed
+    When the records of the first 30000 ms are left out
+    Then explaining job-5 ends with
+      """
+      recorded
+      """
--- a/features/steps/journal_verify_steps.py
+++ b/features/steps/journal_verify_steps.py
@@ -188,3 +188,15 @@
 def step_marked_once(context):
     marks = [r.source for r in collect(context) if r.kind is journal.Kind.MARK]
     assert marks == sorted(context.journals), marks
+
+
+@given("{wait:d} ms later {source}, which had been quiet, answers {job}")
+def step_answer_later(context, wait, source, job):
+    context.clock.advance(wait)
+    context.journals[source].record(journal.Kind.ANSWERED, job, state="complete")
+
+
+@when("the records of the first {span:d} ms are left out")
+def step_leave_out(context, span):
+    kept = [r for r in collect(context) if r.wall_ms >= _NOON_MS + span]
+    context.records = kept
--- a/packages/core/src/jujubeglade/core/_journal_buffer.py
+++ b/packages/core/src/jujubeglade/core/_journal_buffer.py
@@ -38,6 +38,7 @@
         "_open",
         "_process",
         "_sealed",
+        "_sealed_ms",
     )
 
     def __init__(self, process, incarnation, clock, capacity, key):
@@ -49,6 +50,7 @@
         self._key = key
         self._next_sequence = 1
         self._last_hash = _journal_record.GENESIS_HASH
+        self._sealed_ms = 0
         self._last_kind = None
         self._last_ms = 0
         self._gap = None
@@ -157,14 +159,14 @@
     def _seal(self, entry):
         """Make the Record of an open entry, with its size."""
         fields = (self._process, self._incarnation, *entry)
-        digest, size = _journal_record.compute_hash(fields, self._last_hash, self._key)
+        link = (self._sealed_ms, self._last_hash)
+        digest, size = _journal_record.compute_hash(fields, *link, self._key)
         if size > _MAX_RECORD_BYTES:
             fields = (*fields[:-1], {"detail_dropped_bytes": size})
-            digest, size = _journal_record.compute_hash(
-                fields, self._last_hash, self._key
-            )
-        sealed = _journal_record.Record(*fields, self._last_hash, digest)
+            digest, size = _journal_record.compute_hash(fields, *link, self._key)
+        sealed = _journal_record.Record(*fields, *link, digest)
         self._last_hash = digest
+        self._sealed_ms = sealed.last_ms
         return sealed, size + _OVERHEAD_BYTES
 
     def _drop_oldest(self):
--- a/packages/core/src/jujubeglade/core/_journal_codec.py
+++ b/packages/core/src/jujubeglade/core/_journal_codec.py
@@ -1,9 +1,9 @@
 """Batches of records as bytes.
 
 Records of one process and incarnation that follow each other form a *run*,
-which names the process and the first previous hash once:
+which names the process and what precedes its first record once:
 
-    [process, incarnation, previous_hash,
+    [process, incarnation, previous_ms, previous_hash,
      [[sequence, wall_ms, kind, subject, detail, hash], ...]]
 """
 
@@ -23,13 +23,13 @@
       Bytes.
     """
     runs = []
-    last_hash = None
+    before = None
     for record in records:
-        head = [record.process, record.incarnation]
-        if not runs or runs[-1][:2] != head or last_hash != record.previous_hash:
-            runs.append([*head, record.previous_hash, []])
-        runs[-1][3].append(_row(record))
-        last_hash = record.hash
+        if before is None or not _follows(record, before):
+            head = [record.process, record.incarnation]
+            runs.append([*head, record.previous_ms, record.previous_hash, []])
+        runs[-1][-1].append(_row(record))
+        before = record
     return msgpack.packb(runs)
 
 
@@ -54,6 +54,15 @@
         )
 
 
+def _follows(record, before):
+    """Say whether a record continues the run of the one before it."""
+    return (
+        record.source == before.source
+        and record.previous_hash == before.hash
+        and record.previous_ms == before.last_ms
+    )
+
+
 def _row(record):
     """List the fields that differ from record to record."""
     return [
@@ -68,9 +77,9 @@
 
 def _records(runs):
     """Yield the records of decoded runs."""
-    for process, incarnation, previous_hash, rows in runs:
+    for process, incarnation, previous_ms, previous_hash, rows in runs:
         for sequence, wall_ms, kind, subject, detail, digest in rows:
-            yield _journal_record.Record(
+            record = _journal_record.Record(
                 process,
                 incarnation,
                 sequence,
@@ -78,7 +87,10 @@
                 _journal_record.Kind(kind),
                 subject,
                 detail,
+                previous_ms,
                 previous_hash,
                 digest,
             )
+            yield record
+            previous_ms = record.last_ms
             previous_hash = digest
--- a/packages/core/src/jujubeglade/core/_journal_record.py
+++ b/packages/core/src/jujubeglade/core/_journal_record.py
@@ -78,6 +78,8 @@
       kind: A Kind.
       subject: A string, what the record is about: a job, zone, command or process.
       detail: A mapping of strings to strings and integers.
+      previous_ms: An integer, the wall clock of the record before (of a gap, of its
+        end): whoever lacks that record knows when it was made; 0 for the first.
       previous_hash: Bytes, the hash of the record before.
       hash: Bytes, the hash of this record.
     """
@@ -89,6 +91,7 @@
     kind: Kind
     subject: str
     detail: dict
+    previous_ms: int
     previous_hash: bytes
     hash: bytes
 
@@ -105,13 +108,22 @@
             return last if isinstance(last, int) else self.sequence
         return self.sequence
 
+    @property
+    def last_ms(self):
+        """The last wall clock that the record stands for; differs only for a gap."""
+        if self.kind is Kind.GAP:
+            last_ms = self.detail.get("last_ms")
+            return last_ms if isinstance(last_ms, int) else self.wall_ms
+        return self.wall_ms
+
 
-def compute_hash(fields, previous_hash, key):
+def compute_hash(fields, previous_ms, previous_hash, key):
     """Hash one record.
 
     Args:
       fields: A tuple of process, incarnation, sequence, wall_ms, kind, subject and
         detail.
+      previous_ms: An integer, the wall clock of the record before.
       previous_hash: Bytes, the hash of the record before.
       key: Bytes, the cluster key; may be empty.
 
@@ -119,7 +131,8 @@
       A pair of the hash and the size of the record in bytes.
     """
     *head, kind, subject, detail = fields
-    row = (*head, str(kind), subject, sorted(detail.items()), previous_hash)
+    facts = sorted(detail.items())
+    row = (*head, str(kind), subject, facts, previous_ms, previous_hash)
     body = msgpack.packb(row)
     digest = hashlib.blake2b(body, digest_size=HASH_BYTES, key=key[:_MAX_KEY_BYTES])
     return digest.digest(), len(body)
@@ -144,4 +157,4 @@
         record.subject,
         record.detail,
     )
-    return compute_hash(fields, record.previous_hash, key)[0]
+    return compute_hash(fields, record.previous_ms, record.previous_hash, key)[0]
--- a/packages/core/src/jujubeglade/core/_journal_verify.py
+++ b/packages/core/src/jujubeglade/core/_journal_verify.py
@@ -109,7 +109,7 @@
         if last and last.kind is not _journal_record.Kind.CLOSED_JOURNAL:
             first = last.last_sequence + 1
             kind = FindingKind.TAIL
-            finding = Finding(kind, self._source, first, 0, last.wall_ms, 0)
+            finding = Finding(kind, self._source, first, 0, last.last_ms, 0)
             self._findings.append(finding)
         return self._findings
 
@@ -120,7 +120,8 @@
             self._note_missing(expected, record)
             return
         previous = self._last.hash if self._last else _journal_record.GENESIS_HASH
-        if record.previous_hash != previous:
+        before_ms = self._last.last_ms if self._last else 0
+        if (record.previous_ms, record.previous_hash) != (before_ms, previous):
             self._note(FindingKind.BROKEN, record)
 
     def _note_missing(self, first, record):
@@ -128,13 +129,12 @@
         first_ms = self._last.wall_ms if self._last else 0
         last = record.sequence - 1
         kind = FindingKind.MISSING
-        finding = Finding(kind, self._source, first, last, first_ms, record.wall_ms)
+        last_ms = record.previous_ms
+        finding = Finding(kind, self._source, first, last, first_ms, last_ms)
         self._findings.append(finding)
 
     def _note(self, kind, record, last=None):
         """Add a finding about a record."""
-        last_ms = record.detail.get("last_ms")
-        last_ms = last_ms if isinstance(last_ms, int) else record.wall_ms
         self._findings.append(
             Finding(
                 kind,
@@ -142,7 +142,7 @@
                 record.sequence,
                 last or record.sequence,
                 record.wall_ms,
-                last_ms,
+                record.last_ms,
             )
         )
 
