--- /dev/null
+++ b/packages/bench/src/jujubeglade/fakes/upstream.py
@@ -0,0 +1,244 @@
+"""A stand-in upstream, which is also the judge of what was started.
+
+It announces itself to an agent, runs each task by sleeping for the time its
+payload names, and writes down every start. Its faults can be set:
+
+    {"ms": 200, "value": 7}           runs 200 ms and answers {"value": 7}
+    set_faults(fail=True)             answers 500 at once
+    set_faults(slow_factor=10)        takes ten times as long
+
+Its log is one JSON object a start: time, job, index, attempt, zone, name.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import re
+import time
+
+import aiohttp
+from aiohttp import web
+
+_TASK_ID = re.compile(r"(?P<key>[0-9a-f]+-[0-9a-f]+)-(?P<index>\d+)\.(?P<attempt>\d+)")
+_DEFAULT_RUN_MS = 50
+_LEASE_MS = 3000
+_RETRY_SECONDS = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """One start, as the upstream saw it.
+
+    Attributes:
+      wall_ms: An integer.
+      key: A string, the job key.
+      index: An integer, the task's place in its job.
+      attempt: An integer.
+      zone: A string.
+      name: A string, of this upstream.
+      tag: A string, what the payload calls itself.
+    """
+
+    wall_ms: int
+    key: str
+    index: int
+    attempt: int
+    zone: str
+    name: str
+    tag: str
+
+
+class FakeUpstream:
+    """One stand-in upstream."""
+
+    def __init__(self, name, zone, service="parts", slots=8, connections=64):
+        """Prepare an upstream; `start` opens its port.
+
+        Args:
+          name: A string.
+          zone: A string.
+          service: A string, the service it announces.
+          slots: An integer, how many tasks run at once.
+          connections: An integer, how many connections it takes.
+        """
+        self.name = name
+        self.zone = zone
+        self.service = service
+        self.slots = slots
+        self.connections = connections
+        self.started = []
+        self.finished = 0
+        self.cancelled = 0
+        self.refused_late = 0
+        self.fail = False
+        self.slow_factor = 1
+        self._log = None
+        self._running = {}
+        self._lease = None
+        self._announcing = None
+        self._session = None
+        self._runner = None
+
+    @property
+    def address(self):
+        """Return the base URL, once started."""
+        host, port = self._runner.addresses[0][:2]
+        return f"http://{host}:{port}"
+
+    async def start(self, agent_address, port=0, log_path=None):
+        """Open the port and announce to an agent, again after each lapse.
+
+        Args:
+          agent_address: A string, the base URL of the agent's announcements.
+          port: An integer; 0 takes any.
+          log_path: A path for the log of starts, or None.
+        """
+        if log_path is not None:
+            self._log = open(log_path, "a", buffering=1, encoding="utf-8")
+        app = web.Application(client_max_size=1 << 24)
+        app.router.add_post("/tasks/{id}", self._run)
+        app.router.add_delete("/tasks/{id}", self._cancel)
+        app.router.add_post("/control", self._control)
+        app.router.add_get("/control", self._show)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self._session = aiohttp.ClientSession()
+        self._announcing = asyncio.create_task(self._announce(agent_address))
+
+    async def leave(self, agent_address):
+        """Leave gracefully.
+
+        Args:
+          agent_address: A string, the base URL of the agent's announcements.
+        """
+        self._announcing.cancel()
+        await self._post(agent_address, "/v1/leave", {"lease": self._lease})
+
+    async def close(self):
+        """Close the port and stop announcing."""
+        if self._announcing is not None:
+            self._announcing.cancel()
+        await self._session.close()
+        await self._runner.cleanup()
+        if self._log is not None:
+            self._log.close()
+
+    def set_faults(self, fail=False, slow_factor=1):
+        """Set the faults.
+
+        Args:
+          fail: A boolean, whether every task fails at once.
+          slow_factor: A number by which run times are multiplied.
+        """
+        self.fail = fail
+        self.slow_factor = slow_factor
+
+    async def _announce(self, agent_address):
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "slots": self.slots,
+            "connections": self.connections,
+            "lease_ms": _LEASE_MS,
+        }
+        while True:
+            wait = _RETRY_SECONDS
+            try:
+                if self._lease is None:
+                    given = await self._post(agent_address, "/v1/announce", fields)
+                else:
+                    body = {"lease": self._lease, "running": len(self._running)}
+                    given = await self._post(agent_address, "/v1/renew", body)
+                self._lease = given.get("lease")
+                if self._lease is not None:
+                    wait = _LEASE_MS / 3000
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                pass
+            await asyncio.sleep(wait)
+
+    async def _post(self, address, path, fields):
+        timeout = aiohttp.ClientTimeout(total=2)
+        async with self._session.post(
+            address + path, json=fields, timeout=timeout
+        ) as reply:
+            return await reply.json()
+
+    async def _run(self, request):
+        body = await request.read()
+        late_ms = int(request.headers["Start-By-Ms"])
+        wall_ms = time.time_ns() // 1_000_000
+        if wall_ms > late_ms:
+            self.refused_late += 1
+            return web.Response(status=412, text="too late to start")
+        payload = json.loads(body) or {}
+        task_id = request.match_info["id"]
+        self._note(task_id, wall_ms, payload)
+        if self.fail:
+            return web.Response(status=500, text="this upstream fails every task")
+        run_ms = payload.get("ms", _DEFAULT_RUN_MS) * self.slow_factor
+        stop = asyncio.get_running_loop().create_future()
+        self._running[task_id] = stop
+        done, _ = await asyncio.wait((stop,), timeout=run_ms / 1000)
+        self._running.pop(task_id, None)
+        if done:
+            return web.Response(status=409, text="cancelled")
+        self.finished += 1
+        return web.json_response({"value": payload.get("value"), "by": self.name})
+
+    async def _cancel(self, request):
+        stop = self._running.get(request.match_info["id"])
+        if stop is not None and not stop.done():
+            self.cancelled += 1
+            stop.set_result(None)
+        return web.Response(status=204)
+
+    async def _control(self, request):
+        self.set_faults(**await request.json())
+        return web.json_response({})
+
+    async def _show(self, request):
+        return web.json_response([dataclasses.asdict(each) for each in self.started])
+
+    def _note(self, task_id, wall_ms, payload):
+        matched = _TASK_ID.fullmatch(task_id)
+        started = Started(
+            wall_ms,
+            matched["key"],
+            int(matched["index"]),
+            int(matched["attempt"]),
+            self.zone,
+            self.name,
+            str(payload.get("tag", "")),
+        )
+        self.started.append(started)
+        if self._log is not None:
+            self._log.write(json.dumps(dataclasses.asdict(started)) + "\n")
+
+
+async def _serve(chosen):
+    upstream = FakeUpstream(
+        chosen.name, chosen.zone, chosen.service, chosen.slots, chosen.connections
+    )
+    await upstream.start(chosen.agent, chosen.port, chosen.log)
+    print(f"upstream {chosen.name} at {upstream.address}", flush=True)
+    await asyncio.Event().wait()
+
+
+def main():
+    """Run a stand-in upstream as a process of its own."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--zone", required=True)
+    parser.add_argument("--agent", required=True, help="base URL of the announcements")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--service", default="parts")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--connections", type=int, default=64)
+    parser.add_argument("--log", default=None)
+    asyncio.run(_serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/daemon/main.py
@@ -0,0 +1,64 @@
+"""The jujubegladed program: one process of the role its settings name.
+
+It runs until SIGTERM or SIGINT and then leaves gracefully: it takes no new work,
+finishes what it has, and ends.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+from jujubeglade.core import log, settings
+
+_EXIT_SETTINGS = 2
+
+
+def main(arguments=None):
+    """Run the program.
+
+    Args:
+      arguments: A list of strings; None takes those of the process.
+    """
+    parser = argparse.ArgumentParser(
+        prog="jujubegladed", description="Run one process of jujubeglade."
+    )
+    parser.add_argument("settings", help="the settings file, JSON with comments")
+    chosen = parser.parse_args(arguments)
+    loaded = settings.load(chosen.settings)
+    if loaded.is_err():
+        for each in loaded.err_value:
+            print(each, file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    checked = loaded.ok_value
+    log.setup(checked.log_level, sys.stderr, checked.role, checked.name)
+    asyncio.run(_serve(new_process(checked)))
+
+
+def new_process(checked):
+    """Make the process of a role.
+
+    Only the role's own modules are imported: an agent stays small.
+
+    Args:
+      checked: An EntrySettings or AgentSettings.
+    Returns:
+      An Entry or an Agent.
+    """
+    if checked.role == "entry":
+        from jujubeglade.entry import entry
+
+        return entry.new_entry(checked)
+    from jujubeglade.agent import agent
+
+    return agent.new_agent(checked)
+
+
+async def _serve(process):
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await process.start()
+    await stopping.wait()
+    await process.stop()
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -0,0 +1,299 @@
+"""The entry: one process between clients, operators, agents and the store."""
+
+import asyncio
+import contextlib
+
+import result
+from aiohttp import web
+
+from jujubeglade.core import (
+    clock,
+    configuration,
+    journal,
+    link,
+    member,
+    problem,
+    store,
+    ticket,
+)
+from jujubeglade.entry import (
+    acceptance,
+    callers,
+    freshness,
+    issuer,
+    latest,
+    ledger,
+    membership,
+    operators,
+    peers,
+    router,
+    vote,
+)
+
+_TICK_MS = 500
+_IN_FORCE_PATIENCE_MS = 4000
+_STAGE_POLL_MS = 50
+
+
+class Entry:
+    """One entry process and its parts."""
+
+    def __init__(self, settings, wall):
+        """Build the parts; nothing runs yet.
+
+        Args:
+          settings: The EntrySettings.
+          wall: A Clock.
+        """
+        self.settings = settings
+        self.clock = wall
+        self.cluster_key = settings.cluster_key.encode("utf-8")
+        incarnation = ticket.new_incarnation()
+        self.identity = link.Identity(
+            "entry", settings.name, incarnation, settings.zone
+        )
+        self.journal = journal.open_journal(settings.name, incarnation, wall)
+        self.membership = membership.Membership(wall, self.journal)
+        self.issuer = issuer.Issuer(
+            wall,
+            self.cluster_key,
+            self.membership,
+            settings.limits.candidates + 1,
+            self._is_drained,
+        )
+        self.router = router.Router(wall, self.membership, settings.limits)
+        self.latest = latest.Latest()
+        self.latest.subscribe(self._on_document)
+        self._build_agreement()
+        self._configuration = member.Configuration(0, b"{}")
+        self._submitting = 0
+        self._tasks = set()
+        self._server = None
+        self._runner = None
+
+    @property
+    def http_port(self):
+        """Return the port of the HTTP interface, once started."""
+        return self._runner.addresses[0][1]
+
+    async def start(self):
+        """Open the ports and start the tasks."""
+        self._store = store.connect(
+            store.Settings(
+                f"http://{self.settings.store.address}",
+                driver=self.settings.store.driver,
+                timeout_ms=self.settings.store.timeout_ms,
+            )
+        )
+        self.ledger = ledger.Ledger(self._store, self.latest, self.clock)
+        self.ledger.subscribe_reads(self.freshness.store_read)
+        stream = self.settings.stream
+        self._server = await link.serve(
+            (stream.host, stream.port),
+            self.cluster_key,
+            self.identity,
+            self,
+            self.settings.limits.max_connections,
+        )
+        self._runner = web.AppRunner(self._application(), access_log=None)
+        await self._runner.setup()
+        http = self.settings.http
+        await web.TCPSite(self._runner, http.host, http.port).start()
+        for running in (self.ledger, self.freshness, self.acceptance, self.peers):
+            self._spawn(running.run())
+        self._spawn(self._tick())
+
+    async def stop(self):
+        """Leave gracefully: answer what was taken, then close everything."""
+        grace = clock.seconds(self.settings.limits.drain_grace_ms)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace):
+                while self._submitting:
+                    await asyncio.sleep(clock.seconds(_STAGE_POLL_MS))
+        await self.close()
+
+    async def close(self):
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.peers.close()
+        for presence in self.membership.present():
+            presence.link.close()
+        self._server.close()
+        await self._runner.cleanup()
+        await self._store.close()
+
+    async def submit(self, submission, held, wait_ms):
+        """Hand a checked submission to its owner.
+
+        Args:
+          submission: A Submission.
+          held: Its Ticket.
+          wait_ms: An integer, how long the answer may take.
+        Returns:
+          A Result of an Answer, or of a Problem.
+        """
+        self._submitting += 1
+        try:
+            return await self.router.submit(submission, held, wait_ms)
+        finally:
+            self._submitting -= 1
+
+    async def change(self, change, command):
+        """Change the configuration.
+
+        Args:
+          change: A change of `configuration`.
+          command: A Command.
+        Returns:
+          A Result of a pair of an Outcome and the Stage reached, or of a Problem.
+        """
+        submitted = await self.ledger.submit(change, command)
+        if submitted.is_err():
+            return submitted
+        outcome = submitted.ok_value
+        self.journal.record(
+            journal.Kind.COMMAND,
+            command.command_id,
+            text=command.text,
+            by=command.by,
+            status=str(outcome.status),
+            revision=outcome.revision,
+        )
+        await self.acceptance.spread()
+        stage = await self._await_in_force(outcome.revision)
+        return result.Ok((outcome, stage))
+
+    def on_link(self, opened):
+        """Hand a new agent the configuration.
+
+        Args:
+          opened: The Link.
+        """
+        if opened.remote.role == "agent":
+            opened.send(self._configuration)
+            self._spawn(self._watch_agent(opened))
+
+    def on_message(self, opened, body):
+        """Take a heartbeat and answer it with a permit.
+
+        Args:
+          opened: The Link.
+          body: A Heartbeat.
+        """
+        if not isinstance(body, member.Heartbeat):
+            return
+        if self.membership.note(opened, body):
+            self.issuer.forget()
+        granted = self.freshness.permit(self.clock.now_ms())
+        if body.revision < granted.revision:
+            opened.send(self._configuration)
+        opened.send(
+            member.Permit(body.sent_ms, granted.revision, int(granted.remaining_ms))
+        )
+
+    async def on_request(self, opened, body):
+        """Serve another entry.
+
+        Args:
+          opened: The Link.
+          body: A message of `peers`.
+        Returns:
+          The answer's body, or a Problem.
+        """
+        if opened.remote.role != "entry":
+            return problem.Problem(
+                problem.Kind.FRAME, "only entries ask entries", "run the same version"
+            )
+        return self.peers.serve(body)
+
+    def _build_agreement(self):
+        others = [
+            entry for entry in self.settings.entries if entry.name != self.settings.name
+        ]
+        names = [entry.name for entry in others]
+        voter = vote.Voter(self.settings.name, names, self.latest)
+        self.peers = peers.Peers(
+            self.identity, self.cluster_key, others, voter, self.latest
+        )
+        self.freshness = freshness.Freshness(
+            voter, self.latest, self.clock, self.peers.ask, self.peers.fetch
+        )
+        self.acceptance = acceptance.Acceptance(
+            voter, self.latest, self.clock, self.peers.ask
+        )
+
+    def _application(self):
+        limits = self.settings.limits
+        app = web.Application(client_max_size=limits.max_body_bytes)
+        callers.Callers(self).add_routes(app)
+        operators.Operators(self).add_routes(app)
+        app.router.add_get("/health", self._health)
+        app.router.add_get("/ready", self._ready)
+        return app
+
+    async def _health(self, request):
+        return web.json_response({"status": "ok"})
+
+    async def _ready(self, request):
+        granted = self.freshness.permit(self.clock.now_ms())
+        ready = bool(granted.remaining_ms and len(self.membership))
+        body = {
+            "status": "ready" if ready else "not ready",
+            "workers": len(self.membership),
+            "revision": granted.revision,
+            "permit_ms": int(granted.remaining_ms),
+        }
+        return web.json_response(body, status=200 if ready else 503)
+
+    def _is_drained(self, each):
+        document = self.latest.document
+        zones, workers = document.drained_zones, document.drained_workers
+        return each.zone in zones or each.name in workers
+
+    def _on_document(self, document):
+        dumped = configuration.dump(configuration.without_outcomes(document))
+        self._configuration = member.Configuration(document.revision, dumped)
+        self.journal.record(
+            journal.Kind.CONFIGURATION,
+            str(document.revision),
+            revision=document.revision,
+        )
+        self.issuer.forget()
+        for presence in self.membership.present():
+            presence.link.send(self._configuration)
+
+    async def _await_in_force(self, revision):
+        end_ms = self.clock.now_ms() + _IN_FORCE_PATIENCE_MS
+        stage = self.acceptance.stage(revision)
+        while stage != acceptance.Stage.IN_FORCE and self.clock.now_ms() < end_ms:
+            await asyncio.sleep(clock.seconds(_STAGE_POLL_MS))
+            stage = self.acceptance.stage(revision)
+        return stage
+
+    async def _watch_agent(self, opened):
+        await opened.wait_closed()
+        self.membership.lose(opened)
+        self.issuer.forget()
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(clock.seconds(_TICK_MS))
+            self.membership.sweep()
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def new_entry(settings):
+    """Make an entry.
+
+    Args:
+      settings: The EntrySettings.
+    Returns:
+      An Entry; start it with `start`.
+    """
+    return Entry(settings, clock.system_clock())
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/entry/peers.py
@@ -0,0 +1,179 @@
+"""The streams between entries, by which they agree on the configuration.
+
+Each entry dials every other one named in the settings and asks on that link.
+The questions and answers are those of `vote`, put into messages here.
+"""
+
+import asyncio
+
+import result
+
+from jujubeglade.core import clock, configuration, link, member, message, problem
+from jujubeglade.entry import vote
+
+_REDIAL_MS = 300
+
+
+@message.register(60)
+class Question:
+    """A vote.Question on a stream; see there."""
+
+    asker: str
+    revision: int
+
+
+@message.register(61)
+class Vote:
+    """A vote.Vote on a stream; see there."""
+
+    voter: str
+    revision: int
+    counts: bool
+
+
+@message.register(62)
+class Offer:
+    """A vote.Offer on a stream; the document travels as JSON in bytes."""
+
+    asker: str
+    document: bytes
+
+
+@message.register(63)
+class Acknowledgement:
+    """A vote.Acknowledgement on a stream; see there."""
+
+    voter: str
+    revision: int
+
+
+@message.register(64)
+class Fetch:
+    """Ask for the highest configuration; answered by a member.Configuration."""
+
+
+class Peers:
+    """The other entries, as one entry reaches them."""
+
+    __slots__ = ("_addresses", "_cluster_key", "_identity", "_latest", "_links", "_voter")
+
+    def __init__(self, identity, cluster_key, addresses, voter, latest):
+        """Start without links.
+
+        Args:
+          identity: An Identity, of this entry.
+          cluster_key: Bytes.
+          addresses: A sequence of EntryAddresses, of all other entries.
+          voter: A vote.Voter.
+          latest: A Latest.
+        """
+        self._identity = identity
+        self._cluster_key = cluster_key
+        self._addresses = addresses
+        self._voter = voter
+        self._latest = latest
+        self._links = {}
+
+    async def run(self):
+        """Keep a link to every other entry."""
+        async with asyncio.TaskGroup() as tasks:
+            for address in self._addresses:
+                tasks.create_task(self._keep(address))
+
+    async def ask(self, name, asked):
+        """Put a question of `vote` to another entry.
+
+        Args:
+          name: A string, the name of the entry.
+          asked: A vote.Question or a vote.Offer.
+        Returns:
+          A Result of a vote.Vote or a vote.Acknowledgement.
+        """
+        if isinstance(asked, vote.Offer):
+            body = Offer(asked.asker, configuration.dump(asked.document))
+        else:
+            body = Question(asked.asker, asked.revision)
+        answered = await self._ask(name, body)
+        if answered.is_err():
+            return answered
+        answer = answered.ok_value
+        if isinstance(answer, Acknowledgement):
+            return result.Ok(vote.Acknowledgement(answer.voter, answer.revision))
+        return result.Ok(vote.Vote(answer.voter, answer.revision, answer.counts))
+
+    async def fetch(self, name):
+        """Fetch the highest document another entry holds.
+
+        Args:
+          name: A string, the name of the entry.
+        Returns:
+          A Result of a Document.
+        """
+        answered = await self._ask(name, Fetch())
+        if answered.is_err():
+            return answered
+        return configuration.parse(answered.ok_value.document)
+
+    def serve(self, body):
+        """Answer another entry.
+
+        Args:
+          body: A Question, an Offer or a Fetch.
+        Returns:
+          The answer's body, or a Problem.
+        """
+        if isinstance(body, Fetch):
+            document = self._latest.document
+            return member.Configuration(
+                document.revision, configuration.dump(document)
+            )
+        if isinstance(body, Question):
+            cast = self._voter.answer(vote.Question(body.asker, body.revision))
+            return Vote(cast.voter, cast.revision, cast.counts)
+        parsed = configuration.parse(body.document)
+        if parsed.is_err():
+            return parsed.err_value
+        held = self._voter.answer(vote.Offer(body.asker, parsed.ok_value))
+        return Acknowledgement(held.voter, held.revision)
+
+    def on_message(self, opened, body):
+        """Ignore one-way messages: entries send each other none."""
+
+    async def on_request(self, opened, body):
+        """Refuse questions on dialed links: they come on accepted ones."""
+        return problem.Problem(
+            problem.Kind.FRAME, "asked on the wrong link", "run the same version"
+        )
+
+    def close(self):
+        """Close all links."""
+        for opened in list(self._links.values()):
+            opened.close()
+
+    async def _ask(self, name, body):
+        opened = self._links.get(name)
+        if opened is None:
+            return result.Err(_not_connected(name))
+        return await opened.ask(body, vote.ANSWER_MS)
+
+    async def _keep(self, address):
+        while True:
+            dialed = await link.dial(
+                (address.host, address.port), self._cluster_key, self._identity, self
+            )
+            if dialed.is_ok():
+                self._links[address.name] = dialed.ok_value
+                try:
+                    await dialed.ok_value.run()
+                finally:
+                    del self._links[address.name]
+            await asyncio.sleep(clock.seconds(_REDIAL_MS))
+
+
+def _not_connected(name):
+    return problem.Problem(
+        kind=problem.Kind.STORE,
+        message=f"entry {name} is not connected",
+        remedy="look whether it runs and can be reached",
+        place=name,
+    )
