Add the store, its stand-in and the configuration document

Cause: what must last lives in the platform's key-value service, whose answers can be lost; nothing in the tree could speak to it or stand in for it. Ruled out: exceptions for failed calls (a caller must tell 'not applied' from 'unknown'); one listener for the stand-in and its control (a refused connection can't be told to come back); a map of the last change of each subject in the document (it grows with the fleet, the outcomes are bounded). Conclusion: a definite refusal, a lost answer, a hang and a slow store are told apart, and a command that lost a race is told who won.

--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,93 @@
+"""Steps for the configuration document."""
+
+import json
+
+from behave import then, when
+
+from jujubeglade.core import configuration
+
+
+def apply(context, change, command_id, by="ana", expected=None):
+    document = getattr(context, "document", configuration.Document())
+    text = configuration.describe(change)
+    command = configuration.Command(command_id, text, by, 0, expected)
+    context.answer = configuration.apply(document, change, command)
+    if context.answer.is_ok():
+        context.document = context.answer.ok_value
+
+
+@when("these configuration commands are applied:")
+def step_commands(context):
+    for row in context.table:
+        change = configuration.build(row["change"], json.loads(row["fields"]))
+        apply(context, change.unwrap(), row["id"], row["by"])
+
+
+@when('"{name}" {fields} expecting revision {revision:d} is applied as "{command_id}"')
+def step_expecting(context, name, fields, revision, command_id):
+    change = configuration.build(name, json.loads(fields)).unwrap()
+    apply(context, change, command_id, expected=revision)
+
+
+@when('{count:d} configuration commands on other subjects follow a drain of "{zone}"')
+def step_many(context, count, zone):
+    apply(context, configuration.DrainZone(zone), "first")
+    for number in range(count):
+        apply(context, configuration.SetLimit(f"l{number}", 1), f"id{number}")
+
+
+@when('"{name}" {fields} is built and applied')
+def step_build(context, name, fields):
+    context.answer = configuration.build(name, json.loads(fields))
+    if context.answer.is_ok():
+        apply(context, context.answer.ok_value, "c1")
+
+
+@when("the configuration bytes {data} are read holding revision {revision:d}")
+def step_read(context, data, revision):
+    context.answer = configuration.parse(data.encode(), revision)
+
+
+@then("the configuration outcomes are:")
+def step_outcomes(context):
+    names = ("command_id", "status", "revision", "subject")
+    found = [
+        [str(getattr(outcome, name)) for name in names]
+        for outcome in context.document.outcomes
+    ]
+    assert found == [list(row) for row in context.table], found
+
+
+@then('the configuration drains zones "{zones}" and workers "{workers}"')
+@then('the configuration drains zones "" and workers "{workers}"')
+def step_drained(context, workers, zones=""):
+    assert context.document.drained_zones == set(zones.split())
+    assert context.document.drained_workers == set(workers.split())
+
+
+@then("the configuration survives being written and read")
+def step_survives(context):
+    data = configuration.dump(context.document)
+    assert configuration.parse(data, 6).unwrap() == context.document
+
+
+@then('the configuration command answers "{expected}"')
+def step_answers(context, expected):
+    answer = context.answer
+    found = (
+        answer.ok_value.outcomes[-1].status
+        if answer.is_ok()
+        else answer.err_value.message
+    )
+    assert found == expected, found
+
+
+@then("the configuration keeps {count:d} outcomes")
+def step_keeps(context, count):
+    assert len(context.document.outcomes) == count
+
+
+@then("the configuration refuses: {remedy}")
+def step_refuses(context, remedy):
+    assert context.answer.is_err(), context.answer
+    assert context.answer.err_value.remedy == remedy, context.answer
--- /dev/null
+++ b/packages/core/src/jujubeglade/core/configuration.py
@@ -0,0 +1,94 @@
+"""The configuration of the system: one immutable document in the store.
+
+Operators change it by commands, one compare-and-swap each; every process applies
+rising revisions only. All here is pure: functions take a document and return a
+changed one, and `jujubeglade.entry.ledger` does the writing::
+
+    command = configuration.Command("c-17", "drain zone east", "ana", wall_ms)
+    match configuration.apply(document, configuration.DrainZone("east"), command):
+        case result.Ok(changed): ...
+        case result.Err(problem): ...
+
+A command's outcome stays in the document under its id, so that whoever repeats the
+command is told what became of it the first time.
+
+| status      | meaning                                                          |
+|-------------|------------------------------------------------------------------|
+| `applied`   | the command changed the document, at the outcome's revision      |
+| `unchanged` | the document already said what the command asks for              |
+| `lost`      | another command changed the same subject first; nothing was done |
+"""
+
+from jujubeglade.core._configuration_changes import (
+    ClearLimit,
+    ClearQuota,
+    DrainWorker,
+    DrainZone,
+    RestoreWorker,
+    RestoreZone,
+    SetLimit,
+    SetQuota,
+    build,
+    change,
+    change_names,
+    describe,
+)
+from jujubeglade.core._configuration_commands import (
+    Command,
+    apply,
+    find_outcome,
+    loss,
+    record_loss,
+)
+from jujubeglade.core._configuration_document import (
+    MAX_OUTCOMES,
+    Document,
+    Outcome,
+    Quota,
+    Status,
+    clear_limit,
+    clear_quota,
+    drain_worker,
+    drain_zone,
+    restore_worker,
+    restore_zone,
+    set_limit,
+    set_quota,
+)
+from jujubeglade.core._configuration_json import dump, parse, without_outcomes
+
+__all__ = [
+    "MAX_OUTCOMES",
+    "ClearLimit",
+    "ClearQuota",
+    "Command",
+    "Document",
+    "DrainWorker",
+    "DrainZone",
+    "Outcome",
+    "Quota",
+    "RestoreWorker",
+    "RestoreZone",
+    "SetLimit",
+    "SetQuota",
+    "Status",
+    "apply",
+    "build",
+    "change",
+    "change_names",
+    "clear_limit",
+    "clear_quota",
+    "describe",
+    "drain_worker",
+    "drain_zone",
+    "dump",
+    "find_outcome",
+    "loss",
+    "parse",
+    "record_loss",
+    "restore_worker",
+    "restore_zone",
+    "set_limit",
+    "set_quota",
+    "without_outcomes",
+]
