Gather audit records into segments of the store

Cause: VMs keep nothing, so records must reach the store; it counts each call and loses answers.

An entry groups records by 10 s of their own wall clock, at most one write a second, and acknowledges only what the store holds. A repeated write has the same key and bytes: a conflict with itself is a success. Ruled out: keys by job (a write for each job), and sharding by job (many more writes on a small site).

--- /dev/null
+++ b/features/steps/archive_steps.py
@@ -0,0 +1,304 @@
+"""Steps for the archive of an entry, before a store that may fail."""
+
+import asyncio
+import dataclasses
+
+from behave import given, then, when
+from result import Err, Ok
+
+from jujubeglade.core import clock, journal, problem
+from jujubeglade.entry import archive
+
+_NOON_MS = 1_767_268_800_000
+_KEY = b"the cluster key"
+_CAPACITY = 100
+_IDS = {"agent-1": "aa", "agent-2": "bb"}
+
+
+@dataclasses.dataclass
+class StoredEntry:
+    """A key as the store holds it."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+class FakeStore:
+    """A store in memory that can be down or lose its answers."""
+
+    def __init__(self):
+        """Begin empty and up."""
+        self.values = {}
+        self.down = False
+        self.lost_answers = 0
+        self.writes = []
+        self.reads = 0
+
+    def _problem(self, kind=problem.Kind.STORE):
+        return Err(problem.Problem(kind, "the store failed", "wait"))
+
+    async def get(self, key):
+        """Read one key."""
+        if self.down:
+            return self._problem()
+        return Ok(StoredEntry(key, self.values.get(key, b""), 1))
+
+    async def get_prefix(self, prefix):
+        """Read the keys that begin with a prefix."""
+        self.reads += 1
+        if self.down:
+            return self._problem()
+        keys = sorted(key for key in self.values if key.startswith(prefix))
+        return Ok(tuple(StoredEntry(key, self.values[key], 1) for key in keys))
+
+    async def compare_and_swap(self, key, value, mod_revision):
+        """Create a key."""
+        assert len(value) < 1_000_000
+        if self.down:
+            return self._problem()
+        if key in self.values:
+            return self._problem(problem.Kind.CONFLICT)
+        self.values[key] = value
+        self.writes.append(key)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return self._problem()
+        return Ok(1)
+
+
+class Sender:
+    """An agent that sends its records to one or more archives, as a link would."""
+
+    def __init__(self, name, manual, archives):
+        """Open the agent's journal."""
+        self.journal = journal.open_journal(name, _IDS[name], manual, _CAPACITY, _KEY)
+        self.archives = archives
+
+    def send(self):
+        """Offer what is pending to each archive."""
+        batch = self.journal.pending(20, 2000)
+        for held in self.archives:
+            if batch:
+                held.offer(batch)
+
+    def stored(self, process, incarnation, sequence):
+        """Forget what an archive says is stored."""
+        if process == self.journal.process:
+            self.journal.acknowledge(sequence)
+
+
+def make_archive(context, name, **bounds):
+    own = journal.open_journal(name, "ee", context.clock, _CAPACITY, _KEY)
+    return archive.open_archive(own, context.store, context.clock, **bounds)
+
+
+def connect(context):
+    context.senders = {
+        name: Sender(name, context.clock, context.archives) for name in _IDS
+    }
+    for held in context.archives:
+        for sender in context.senders.values():
+            held.on_stored(sender.stored)
+
+
+def pass_seconds(context, seconds, each_second=None):
+    """Let every link and archive take its turn, second by second."""
+
+    async def turns():
+        for second in range(seconds):
+            context.clock.advance(1000)
+            if each_second:
+                each_second(second)
+            for sender in context.senders.values():
+                sender.journal.mark_when_quiet()
+                sender.send()
+            for held in context.archives:
+                await held.step()
+
+    asyncio.run(turns())
+
+
+def record_job(context, name, job):
+    records = context.senders[name].journal
+    records.record(journal.Kind.ACCEPTED, job, candidates=f"{name}/{_IDS[name]}")
+    records.record(journal.Kind.ANSWERED, job, state="complete")
+
+
+def read_all(context):
+    return asyncio.run(context.archives[0].read_all()).ok_value
+
+
+@given("the archive of entry-1 before an empty store")
+def step_archive(context):
+    context.clock = clock.ManualClock(_NOON_MS)
+    context.store = FakeStore()
+    context.archives = [make_archive(context, "entry-1")]
+    context.issued_ms = {}
+
+
+@given("agent-1 and agent-2 send it their records")
+def step_senders(context):
+    connect(context)
+
+
+@given("the archive takes {size:d} bytes while the store does not answer")
+def step_bound(context, size):
+    context.archives = [make_archive(context, "entry-1", max_bytes=size)]
+    connect(context)
+
+
+@given("entry-2 got the records of agent-1 too, after its link to entry-1 broke")
+def step_second_entry(context):
+    context.archives.append(make_archive(context, "entry-2"))
+    connect(context)
+    context.senders["agent-2"].archives = []
+
+
+@given("the store is down")
+def step_down(context):
+    context.store.down = True
+
+
+@when("the store is up again")
+def step_up(context):
+    context.store.down = False
+
+
+@given("the store applies the next {count:d} writes but loses the answers")
+def step_lose(context, count):
+    context.store.lost_answers = count
+
+
+@given("somebody else holds the next key of the archive")
+def step_hold_key(context):
+    bucket = f"jujubeglade/records/{_NOON_MS:015d}/"
+    context.held_key = f"{bucket}entry-1.ee.00000001"
+    context.store.values[context.held_key] = b"not a segment"
+
+
+@when("{name} records the whole of {job}")
+def step_record_job(context, name, job):
+    context.issued_ms[job] = context.clock.wall_ms()
+    record_job(context, name, job)
+
+
+@when("{seconds:d} seconds of the archive pass")
+def step_pass_seconds(context, seconds):
+    pass_seconds(context, seconds)
+
+
+@when("{name} records {count:d} jobs while {seconds:d} seconds of the archive pass")
+def step_record_many(context, name, count, seconds):
+    def record(second):
+        for number in range(count // seconds):
+            record_job(context, name, f"many-{second}-{number}")
+
+    pass_seconds(context, seconds, record)
+
+
+@when("{seconds:d} seconds of the archive pass, with a job of {name} every minute")
+def step_pass_with_jobs(context, seconds, name):
+    def record(second):
+        if second % 60 == 0:
+            record_job(context, name, f"minute-{second}")
+
+    pass_seconds(context, seconds, record)
+
+
+@when("the first segment is damaged")
+def step_damage(context):
+    context.store.values[min(context.store.values)] = b"\x00 not zlib"
+
+
+@when("the archive finishes")
+def step_finish(context):
+    for sender in context.senders.values():
+        sender.send()
+    assert asyncio.run(context.archives[0].finish()).is_ok()
+
+
+@then("the store got {count:d} writes")
+def step_writes(context, count):
+    assert len(context.store.writes) == count, context.store.writes
+
+
+@then("the store got at most one write a second")
+def step_write_rate(context):
+    seconds = (context.clock.wall_ms() - _NOON_MS) // 1000
+    assert 0 < len(context.store.writes) <= seconds
+
+
+@then("the store holds {count:d} segments")
+def step_segments(context, count):
+    assert len(context.store.values) == count, sorted(context.store.values)
+
+
+@then("agent-1 and agent-2 have nothing left to send")
+def step_nothing_left(context):
+    for sender in context.senders.values():
+        assert sender.journal.backlog == 0, sender.journal.backlog
+
+
+@then("{name} has {count:d} records left to send")
+def step_left(context, name, count):
+    assert context.senders[name].journal.backlog == count
+
+
+@then("the auditor of the store finds only open journals")
+def step_only_open(context):
+    findings = journal.verify(read_all(context).records, _KEY)
+    kinds = {finding.kind for finding in findings}
+    assert kinds == {journal.FindingKind.TAIL}, [str(f) for f in findings]
+
+
+@then("every record of {name} is found once")
+def step_once(context, name):
+    found = [r.sequence for r in read_all(context).records if r.process == name]
+    assert found == [1, 2, 3], found
+
+
+@then("no call of {name} waited")
+def step_no_wait(context, name):
+    assert context.senders[name].journal.backlog <= _CAPACITY + 1
+    assert context.senders[name].journal.lost > 0
+
+
+@then("the auditor of the store finds a gap in {name} that adds up to {count:d} jobs")
+def step_gap(context, name, count):
+    records = [r for r in read_all(context).records if r.process == name]
+    findings = journal.verify(records, _KEY)
+    kinds = [finding.kind for finding in findings]
+    gaps = [f for f in findings if f.kind is journal.FindingKind.GAP]
+    assert kinds == [journal.FindingKind.GAP] * len(gaps) + [journal.FindingKind.TAIL]
+    lost = sum(gap.last - gap.first + 1 for gap in gaps)
+    jobs = sum(r.subject.startswith("many-") for r in records)
+    assert gaps
+    assert lost + jobs == 2 * count, (lost, jobs)
+
+
+@then("the story of {job} has the line {line}")
+def step_story(context, job, line):
+    context.store.reads = 0
+    found = asyncio.run(context.archives[0].find(job, context.issued_ms[job]))
+    lines = journal.explain(found.ok_value.records, job, _KEY)
+    assert line in lines, "\n".join(lines)
+    assert line != "recorded" or lines[-1] == line, "\n".join(lines)
+    context.most_reads = max(context.store.reads, getattr(context, "most_reads", 0))
+
+
+@then("each took at most {count:d} reads of the store")
+def step_reads(context, count):
+    assert context.most_reads <= count, context.most_reads
+
+
+@then("reading the store names {count:d} damaged segment")
+def step_damaged(context, count):
+    assert len(read_all(context).damaged) == count
+
+
+@then("the archive noted a conflict and stored the records beside it")
+def step_beside(context):
+    assert context.store.values[context.held_key] == b"not a segment"
+    assert f"{context.held_key}.again" in context.store.values
+    assert context.senders["agent-1"].journal.backlog == 0
--- a/packages/core/src/jujubeglade/core/_journal_explain.py
+++ b/packages/core/src/jujubeglade/core/_journal_explain.py
@@ -62,6 +62,20 @@
     return lines or [f"recorded: no record names {subject}, and none is missing"]
 
 
+def is_about(record, subject):
+    """Say whether a record belongs to a subject's story.
+
+    Args:
+      record: A Record.
+      subject: A string, as `explain` takes it.
+
+    Returns:
+      A boolean.
+    """
+    match = _TASK.fullmatch(subject)
+    return record.subject == subject or bool(match and record.subject == match["job"])
+
+
 def _parse_subject(records, subject):
     """Split a task's id into its job and index, unless a record has that subject."""
     match = _TASK.fullmatch(subject)
--- a/packages/core/src/jujubeglade/core/journal.py
+++ b/packages/core/src/jujubeglade/core/journal.py
@@ -13,7 +13,7 @@
 from jujubeglade.core._journal_attempts import AttemptLog, open_attempts
 from jujubeglade.core._journal_buffer import Journal, open_journal
 from jujubeglade.core._journal_codec import pack, unpack
-from jujubeglade.core._journal_explain import explain
+from jujubeglade.core._journal_explain import explain, is_about
 from jujubeglade.core._journal_record import Kind, Record
 from jujubeglade.core._journal_tasks import (
     TaskEnd,
@@ -33,6 +33,7 @@
     "Record",
     "TaskEnd",
     "explain",
+    "is_about",
     "open_attempts",
     "open_journal",
     "pack",
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/entry/archive.py
@@ -0,0 +1,252 @@
+"""An entry's collector of audit records.
+
+Agents send their records to an entry, which groups them with its own into
+segments of the store. A sender may forget a record when the store holds it,
+never before: until then it is in the sender's buffer too, and an entry that
+dies loses nothing. While the store does not answer, the entry takes records up
+to a bound and then refuses them; the sender's buffer fills and names a gap.
+
+    held = archive.open_archive(own_journal, store, clock)
+    held.on_stored(send_acknowledgement)   # process, incarnation, sequence
+    held.offer(records)                    # Err when the sender must keep them
+    await held.run()                       # at most one write a second
+
+A write whose answer was lost is repeated under the same key with the same bytes:
+either it creates the segment or it meets itself there. See docs/RECORDS.md.
+"""
+
+import asyncio
+import dataclasses
+
+from result import Err, Ok
+
+from jujubeglade.core import clock as clock_
+from jujubeglade.core import problem
+from jujubeglade.entry import _archive_intake, _archive_reader, _archive_segment
+from jujubeglade.entry._archive_reader import Found
+
+__all__ = ["Archive", "Found", "open_archive"]
+
+_WRITE_INTERVAL_MS = 1000
+_FLUSH_MS = 2000
+_MAX_WAITING_BYTES = 8_000_000
+_OWN_BATCH_RECORDS = 1000
+_OWN_BATCH_BYTES = 256_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Segment:
+    """A segment whose write has not been confirmed."""
+
+    key: str
+    value: bytes
+    records: tuple
+
+
+class Archive:
+    """The records that pass through one entry, and those in the store."""
+
+    __slots__ = (
+        "_clock",
+        "_flushed_ms",
+        "_intake",
+        "_listeners",
+        "_number",
+        "_own",
+        "_problem",
+        "_segment",
+        "_store",
+        "_writer",
+    )
+
+    def __init__(self, writer, store, clock, own, max_bytes):
+        """Begin empty; use `open_archive`."""
+        self._writer = writer
+        self._store = store
+        self._clock = clock
+        self._own = own
+        self._intake = _archive_intake.Intake(max_bytes)
+        self._listeners = []
+        self._number = 0
+        self._segment = None
+        self._problem = None
+        self._flushed_ms = clock.now_ms()
+
+    @property
+    def backlog(self):
+        """How many records wait for the store."""
+        return self._intake.waiting_records
+
+    @property
+    def last_problem(self):
+        """The Problem of the last write; None when it succeeded."""
+        return self._problem
+
+    def on_stored(self, listener):
+        """Name whoever wants to know what the store holds.
+
+        Args:
+          listener: A function of process, incarnation and sequence; called when the
+            sender may forget its records up to that sequence.
+        """
+        self._listeners.append(listener)
+
+    def offer(self, records):
+        """Take a batch of a sender's records; never waits.
+
+        Args:
+          records: A tuple of Records of one incarnation, in order.
+
+        Returns:
+          Ok with None, or Err with a Problem when the sender must keep them and
+          offer them again.
+        """
+        match self._intake.add(records):
+            case Ok(acknowledgements):
+                self._announce(acknowledgements)
+                return Ok(None)
+            case Err(_) as failed:
+                return failed
+
+    async def step(self):
+        """Take the entry's own records and make at most one write.
+
+        Returns:
+          Ok with None, also when nothing was due, or Err with the store's Problem.
+        """
+        self._collect_own()
+        if self._segment is None and self._is_due():
+            self._segment = self._next_segment()
+        if self._segment is None:
+            return Ok(None)
+        return await self._write()
+
+    async def run(self):
+        """Step once a second until cancelled."""
+        while True:
+            await self.step()
+            await asyncio.sleep(clock_.seconds(_WRITE_INTERVAL_MS))
+
+    async def finish(self):
+        """Write what waits, for a graceful shutdown; stop at the first problem.
+
+        Returns:
+          Ok with None when the store holds everything, or Err with its Problem.
+        """
+        self._collect_own()
+        while self._segment is not None or self._intake.waiting_records:
+            self._segment = self._segment or self._next_segment()
+            match await self._write():
+                case Err(_) as failed:
+                    return failed
+            self._collect_own()
+        return Ok(None)
+
+    async def find(self, subject, issued_ms):
+        """Read the records of a subject's time back; see `Found`.
+
+        Args:
+          subject: A string, as `journal.explain` takes it.
+          issued_ms: An integer, when it was issued, as the job's ticket says.
+
+        Returns:
+          A Result of Found, or of a Problem.
+        """
+        until_ms = self._clock.wall_ms()
+        return await _archive_reader.find(self._store, subject, issued_ms, until_ms)
+
+    async def read_all(self, limit=0):
+        """Read the newest records of all processes back.
+
+        Args:
+          limit: An integer, how many at most; 0 for all.
+
+        Returns:
+          A Result of Found, or of a Problem.
+        """
+        return await _archive_reader.read_all(self._store, limit)
+
+    def _collect_own(self):
+        """Offer the records of the entry's own journal."""
+        batch = self._own.pending(_OWN_BATCH_RECORDS, _OWN_BATCH_BYTES)
+        if batch:
+            self.offer(batch)
+
+    def _is_due(self):
+        """Say whether a segment is full, or its records have waited long enough."""
+        if not self._intake.waiting_records:
+            return False
+        full = self._intake.waiting_bytes >= _archive_segment.MAX_PACKED_BYTES
+        return full or self._clock.now_ms() - self._flushed_ms >= _FLUSH_MS
+
+    def _next_segment(self):
+        """Make a segment of the oldest records."""
+        bucket_ms, records = self._intake.take(_archive_segment.MAX_PACKED_BYTES)
+        value = _archive_segment.encode(records)
+        return _Segment(self._next_key(bucket_ms), value, records)
+
+    def _next_key(self, bucket_ms):
+        """Name the next segment."""
+        self._number += 1
+        return _archive_segment.key_of(bucket_ms, self._writer, self._number)
+
+    async def _write(self):
+        """Write the current segment, or find out that it was written before."""
+        segment = self._segment
+        written = await self._store.compare_and_swap(segment.key, segment.value, 0)
+        match written:
+            case Err(trouble) if trouble.kind is problem.Kind.CONFLICT:
+                written = await self._meet(segment)
+        match written:
+            case Err(trouble):
+                self._problem = trouble
+                return Err(trouble)
+        self._problem = None
+        self._segment = None
+        self._flushed_ms = self._clock.now_ms()
+        self._announce(self._intake.stored(segment.records))
+        return Ok(None)
+
+    async def _meet(self, segment):
+        """Find out whether the key's holder is this very segment."""
+        match await self._store.get(segment.key):
+            case Err(_) as failed:
+                return failed
+            case Ok(entry):
+                if entry.value == segment.value:
+                    return Ok(entry.mod_revision)
+        key = f"{segment.key}.again"
+        self._segment = dataclasses.replace(segment, key=key)
+        return Err(
+            problem.Problem(
+                problem.Kind.CONFLICT,
+                "another writer holds the segment's key",
+                "give every entry a name of its own in its settings",
+                place=segment.key,
+            )
+        )
+
+    def _announce(self, acknowledgements):
+        """Tell the listeners and the own journal what the store holds."""
+        mine = (self._own.process, self._own.incarnation)
+        for process, incarnation, sequence in acknowledgements:
+            if (process, incarnation) == mine:
+                self._own.acknowledge(sequence)
+            for listener in self._listeners:
+                listener(process, incarnation, sequence)
+
+
+def open_archive(own, store, clock, max_bytes=_MAX_WAITING_BYTES):
+    """Make the archive of an entry.
+
+    Args:
+      own: The entry's Journal, which names the entry and its incarnation.
+      store: A Store.
+      clock: A Clock.
+      max_bytes: An integer, how much may wait while the store does not answer.
+
+    Returns:
+      An Archive.
+    """
+    writer = f"{own.process}.{own.incarnation}"
+    return Archive(writer, store, clock, own, max_bytes)
