--- /dev/null
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -0,0 +1,217 @@
+"""The metrics of one process, for `/metrics`.
+
+Counts are kept in plain dictionaries and handed to aioprometheus when somebody
+reads them, because a count is taken many times between two reads. The number of
+values of each label is bounded: those beyond it count as `other`.
+
+    held = metrics.open_metrics()
+    held.count(metrics.Counter.REFUSED, problem.kind)
+    held.observe_latency("acme", "urgent", 12.5)
+    held.set(metrics.Gauge.QUEUE, 3)
+    body, content_type = held.render()
+"""
+
+import enum
+import re
+
+import aioprometheus
+from aioprometheus import histogram
+from aioprometheus.formats import text
+
+LATENCY_BUCKETS_MS = (
+    *(1, 2, 5, 10, 20, 50, 100, 200, 500),
+    *(1000, 2000, 5000, 10000, 30000, float("inf")),
+)
+OTHER = "other"
+_MAX_TENANTS = 250
+_MAX_VALUES = 64
+# aioprometheus writes label values as they are, so that these would break a line.
+_UNSAFE = re.compile(r'["\\\n\r{}]')
+
+
+class Counter(enum.StrEnum):
+    """What is counted; `_COUNTERS` names the labels."""
+
+    ACCEPTED = "jobs_accepted"
+    REFUSED = "requests_refused"
+    ANSWERED = "jobs_answered"
+    STARTED = "tasks_started"
+    REJECTED = "tasks_rejected"
+    RETRIED = "tasks_retried"
+    HEDGED = "tasks_hedged"
+    MESSAGES = "stream_messages"
+
+
+class Gauge(enum.StrEnum):
+    """What is measured as it stands; `_GAUGES` explains each."""
+
+    QUEUE = "queue_length"
+    RUNNING = "tasks_running"
+    PERMIT = "permit_left_ms"
+    BACKLOG = "journal_backlog"
+    LOST = "journal_records_lost"
+
+
+_PREFIX = "jujubeglade_"
+_COUNTERS = {
+    Counter.ACCEPTED: (("tenant",), "Jobs that this home took."),
+    Counter.REFUSED: (("kind",), "Requests refused, by kind of problem."),
+    Counter.ANSWERED: (("state",), "Jobs answered, by state."),
+    Counter.STARTED: ((), "Task attempts sent to the upstream."),
+    Counter.REJECTED: (("kind",), "Task attempts that will never start here."),
+    Counter.RETRIED: ((), "Task attempts after a failed one."),
+    Counter.HEDGED: ((), "Task attempts beside a slow one."),
+    Counter.MESSAGES: (
+        ("type", "use"),
+        "Stream messages received, by type, and whether they were needed or wasted.",
+    ),
+}
+_GAUGES = {
+    Gauge.QUEUE: "Tasks that wait for a slot.",
+    Gauge.RUNNING: "Tasks that run on the upstream.",
+    Gauge.PERMIT: "Milliseconds that the permit still lasts.",
+    Gauge.BACKLOG: "Audit records that no entry has stored yet.",
+    Gauge.LOST: "Audit records replaced by gaps since the start.",
+}
+
+
+class Metrics:
+    """All metrics of one process."""
+
+    __slots__ = (
+        "_collectors",
+        "_counts",
+        "_gauges",
+        "_histograms",
+        "_known",
+        "_latency",
+        "_max_tenants",
+        "_registry",
+    )
+
+    def __init__(self, max_tenants):
+        """Begin with nothing counted; use `open_metrics`."""
+        self._max_tenants = max_tenants
+        self._known = {}
+        self._counts = {counter: {} for counter in Counter}
+        self._gauges = {}
+        self._histograms = {}
+        self._registry = aioprometheus.Registry()
+        self._collectors = self._make_collectors()
+        self._latency = aioprometheus.Histogram(
+            f"{_PREFIX}job_latency_ms",
+            "From the request to the answer of a job.",
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_MS,
+        )
+
+    def count(self, counter, *values, amount=1):
+        """Count something.
+
+        Args:
+          counter: A Counter.
+          *values: Strings, one for each label of the counter.
+          amount: An integer.
+        """
+        counts = self._counts[counter]
+        if values not in counts:
+            values = self._bound(_COUNTERS[counter][0], values)
+        counts[values] = counts.get(values, 0) + amount
+
+    def count_message(self, message_type, needed):
+        """Count a stream message.
+
+        Args:
+          message_type: A string.
+          needed: A boolean; false for one that told the receiver nothing.
+        """
+        self.count(Counter.MESSAGES, message_type, "needed" if needed else "wasted")
+
+    def observe_latency(self, tenant, class_, duration_ms):
+        """Note how long a job took from its request to its answer.
+
+        Args:
+          tenant: A string.
+          class_: A string, the job's class.
+          duration_ms: A number.
+        """
+        values = (tenant, class_)
+        if values not in self._histograms:
+            values = self._bound(("tenant", "class"), values)
+        held = self._histograms.get(values)
+        if held is None:
+            held = self._histograms[values] = self._make_histogram(values)
+        held.observe(duration_ms)
+
+    def set(self, gauge, value):
+        """Set what is measured as it stands.
+
+        Args:
+          gauge: A Gauge.
+          value: A number.
+        """
+        self._gauges[gauge] = value
+
+    def render(self):
+        """Write all metrics in the text format.
+
+        Returns:
+          A pair of bytes and the string for the header `Content-Type`.
+        """
+        for counter, counts in self._counts.items():
+            labels = _COUNTERS[counter][0]
+            for values, amount in counts.items():
+                named = dict(zip(labels, values, strict=True))
+                self._collectors[counter].set(named, amount)
+        for gauge, value in self._gauges.items():
+            self._collectors[gauge].set({}, value)
+        body = text.TextFormatter().marshall(self._registry)
+        return body, text.TEXT_CONTENT_TYPE
+
+    def _make_collectors(self):
+        """Make the library's object for each counter and gauge."""
+        collectors = {}
+        for counter, (_, doc) in _COUNTERS.items():
+            name = f"{_PREFIX}{counter}_total"
+            collectors[counter] = aioprometheus.Counter(
+                name, doc, registry=self._registry
+            )
+        for gauge, doc in _GAUGES.items():
+            name = f"{_PREFIX}{gauge}"
+            collectors[gauge] = aioprometheus.Gauge(name, doc, registry=self._registry)
+        return collectors
+
+    def _make_histogram(self, values):
+        """Make the histogram of one tenant and class, and show it."""
+        held = histogram.Histogram(*LATENCY_BUCKETS_MS)
+        self._latency.set_value({"tenant": values[0], "class": values[1]}, held)
+        return held
+
+    def _bound(self, labels, values):
+        """Make label values safe, and those beyond the bound `other`."""
+        pairs = zip(labels, values, strict=True)
+        return tuple(self._bound_value(label, value) for label, value in pairs)
+
+    def _bound_value(self, label, value):
+        """Make one label value safe."""
+        value = _UNSAFE.sub("_", str(value))
+        known = self._known.setdefault(label, {OTHER})
+        limit = self._max_tenants if label == "tenant" else _MAX_VALUES
+        if value in known:
+            return value
+        if len(known) > limit:
+            return OTHER
+        known.add(value)
+        return value
+
+
+def open_metrics(max_tenants=_MAX_TENANTS):
+    """Make the metrics of this process.
+
+    Args:
+      max_tenants: An integer, how many tenants get series of their own.
+
+    Returns:
+      A Metrics.
+    """
+    return Metrics(max_tenants)
