Close accepted links in order and place by rules

Cause: the first run of the whole path in one process ended in cancelled readers, since a closed listener left its accepted links open. Ruled out: closing the loop first; links would still be cut unflushed. Before: tracebacks at the end.

--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -65,6 +65,12 @@
         256 * _KIB,
         live=True,
     )
+    held_result_bytes: int = rules.integer(
+        64 * _KIB,
+        1024 * _MIB,
+        "Results an agent holds for resubmissions, and again for successors.",
+        4 * _MIB,
+    )
     max_jobs: int = rules.integer(
         1, 1_000_000, "Most jobs a process remembers at a time.", 20_000, live=True
     )
@@ -116,9 +122,9 @@
     """The platform's key-value service, as an entry reaches it."""
 
     driver: str = rules.choice(
-        ("http", "memory"),
-        "The driver: `http` for the platform's service, `memory` for trials.",
-        "http",
+        ("etcd",),
+        "The driver: `etcd` for the JSON gateway of its third version.",
+        "etcd",
     )
     address: Address = rules.peer("Address of the service.")
     timeout_ms: int = rules.integer(50, 30_000, "Longest wait for an answer.", 2_000)
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -202,6 +202,57 @@
     return result.Ok(Link(reader, writer, identity, opened.ok_value, handler))
 
 
+class Listener:
+    """The accepting side of links."""
+
+    __slots__ = ("_links", "_max_links", "_server")
+
+    def __init__(self, max_links):
+        """Start without links; use `serve`.
+
+        Args:
+          max_links: An integer, the bound of open links.
+        """
+        self._links = set()
+        self._max_links = max_links
+        self._server = None
+
+    @property
+    def port(self):
+        """Return the port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def open(self, address, cluster_key, identity, handler):
+        """Listen; `serve` gives the arguments."""
+
+        async def accept(reader, writer):
+            if len(self._links) >= self._max_links:
+                writer.close()
+                return
+            opened = await _accept(reader, writer, cluster_key, identity, handler)
+            if opened is not None:
+                await self._run(opened, handler)
+
+        self._server = await asyncio.start_server(accept, *address)
+
+    async def close(self):
+        """Stop listening and close the accepted links."""
+        self._server.close()
+        for opened in list(self._links):
+            opened.close()
+        # The tasks that read the links end on the next turns of the event loop.
+        while self._links:
+            await asyncio.sleep(0)
+
+    async def _run(self, opened, handler):
+        self._links.add(opened)
+        try:
+            handler.on_link(opened)
+            await opened.run()
+        finally:
+            self._links.discard(opened)
+
+
 async def serve(address, cluster_key, identity, handler, max_links):
     """Accept links from other processes.
 
@@ -213,34 +264,22 @@
         called when a link is open.
       max_links: An integer, the bound of open links.
     Returns:
-      An asyncio.Server.
+      A Listener.
     """
-    open_links = set()
-
-    async def accept(reader, writer):
-        if len(open_links) >= max_links:
-            writer.close()
-            return
-        open_links.add(writer)
-        try:
-            await _accept_one(reader, writer, cluster_key, identity, handler)
-        finally:
-            open_links.discard(writer)
-
-    return await asyncio.start_server(accept, *address)
+    listener = Listener(max_links)
+    await listener.open(address, cluster_key, identity, handler)
+    return listener
 
 
-async def _accept_one(reader, writer, cluster_key, identity, handler):
+async def _accept(reader, writer, cluster_key, identity, handler):
     opened = None
     with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
         async with asyncio.timeout(clock.seconds(HANDSHAKE_TIMEOUT_MS)):
             opened = await _handshake.accept(reader, writer, cluster_key, identity)
     if opened is None or opened.is_err():
         writer.close()
-        return
-    accepted = Link(reader, writer, identity, opened.ok_value, handler)
-    handler.on_link(accepted)
-    await accepted.run()
+        return None
+    return Link(reader, writer, identity, opened.ok_value, handler)
 
 
 def _name(record):
--- a/packages/core/src/jujubeglade/core/rules.py
+++ b/packages/core/src/jujubeglade/core/rules.py
@@ -4,7 +4,7 @@
 are declared here, so that an entry can check a command without the code that
 carries them out; that code registers itself with `implements`:
 
-    @rules.implements("placement", "two_choices")
+    @rules.implements("placement", "least_loaded")
     def place(...): ...
 
     chosen = rules.implementation("placement", configuration_value)
@@ -36,7 +36,7 @@
 _RULES = (
     Rule(
         "placement",
-        ("two_choices", "local_first", "random"),
+        ("least_loaded", "round_robin"),
         "How a task's worker is chosen among the candidates.",
     ),
     Rule(
@@ -51,8 +51,8 @@
     ),
     Rule(
         "queueing",
-        ("fair", "arrival"),
-        "The order of waiting tasks: fair among tenants, or by arrival.",
+        ("arrival",),
+        "The order of waiting tasks: urgent jobs first, then by arrival.",
     ),
 )
 
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -28,7 +28,13 @@
         self.identity = link.Identity(
             "agent", settings.name, incarnation, settings.zone
         )
-        self.journal = journal.open_journal(settings.name, incarnation, wall)
+        self.journal = journal.open_journal(
+            settings.name,
+            incarnation,
+            wall,
+            settings.limits.audit_records,
+            self.cluster_key,
+        )
         self.permits = permit.Permits(wall, self.identity)
         self.executor = executor.Executor(
             self.identity, wall, self.journal, self.permits, settings.limits
@@ -41,12 +47,12 @@
         self._server = None
         self._runner = None
         self._stream_port = settings.stream.port
-        self._http_port = settings.http.port
+        self._announce_port = settings.announce.port
 
     @property
-    def http_port(self):
+    def announce_port(self):
         """Return the port of the announcements, once started."""
-        return self._http_port
+        return self._announce_port
 
     def member(self):
         """Describe this agent to the entries.
@@ -76,13 +82,12 @@
             self,
             self.settings.limits.max_connections,
         )
-        self._stream_port = self._server.sockets[0].getsockname()[1]
+        self._stream_port = self._server.port
         self._runner = web.AppRunner(announce.application(self), access_log=None)
         await self._runner.setup()
-        http = self.settings.http
-        site = web.TCPSite(self._runner, http.host, http.port)
-        await site.start()
-        self._http_port = self._runner.addresses[0][1]
+        desk = self.settings.announce
+        await web.TCPSite(self._runner, desk.host, desk.port).start()
+        self._announce_port = self._runner.addresses[0][1]
         for each in self._uplinks:
             self._spawn(each.run())
         self._spawn(self._beat())
@@ -109,7 +114,7 @@
         for each in self._uplinks:
             if each.link is not None:
                 each.link.close()
-        self._server.close()
+        await self._server.close()
         await self._runner.cleanup()
         await self.executor.close_upstreams()
 
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -448,7 +448,7 @@
     def _hold(self, attempt):
         self._held.append(attempt)
         self._held_bytes += len(attempt.body)
-        while self._held_bytes > self._limits.result_bytes:
+        while self._held_bytes > self._limits.held_result_bytes:
             oldest = self._held.popleft()
             self._held_bytes -= len(oldest.body)
             oldest.body = b""
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -79,8 +79,8 @@
         self._jobs = {}
         self._workers = {}
         self._tasks = set()
-        self._queue = policy.queue(agent.settings)
-        self._placement = policy.placement(agent.settings)
+        self._queue = policy.queue()
+        self._placement = policy.placement()
         self._pump_handle = None
         self._held_bytes = 0
         self._floor_ms = 0
@@ -653,10 +653,10 @@
                 self.release(known, index, attempt)
 
     def _bound_results(self):
-        if self._held_bytes <= self._limits.result_bytes:
+        if self._held_bytes <= self._limits.held_result_bytes:
             return
         for known in self._jobs.values():
-            if self._held_bytes <= self._limits.result_bytes // 2:
+            if self._held_bytes <= self._limits.held_result_bytes // 2:
                 return
             if known.answer is not None:
                 self._held_bytes -= known.drop_bodies()
--- a/packages/dispatch/src/jujubeglade/agent/policy.py
+++ b/packages/dispatch/src/jujubeglade/agent/policy.py
@@ -1,60 +1,41 @@
 """Policies of a home: which worker takes a task, and which job is next.
 
-Each policy is registered under a name that the settings choose by; the plain
+Each policy carries out a choice of a rule (`jujubeglade.core.rules`); the plain
 ones are kept to measure the others against.
 """
 
 import collections
 
-from jujubeglade.core import job
+from jujubeglade.core import job, rules
 
 MAX_ATTEMPTS = 3
 _PIPELINED = 1
 
-_placements = {}
-_queues = {}
 
 
-def register(registry, name):
-    """Register a policy class.
+def placement(choice=rules.RULES["placement"].default):
+    """Make a placement.
 
     Args:
-      registry: A dict, from names to classes.
-      name: A string, as the settings give it.
-    Returns:
-      A decorator that returns the class.
-    """
-
-    def decorate(cls):
-        registry[name] = cls
-        return cls
-
-    return decorate
-
-
-def placement(settings):
-    """Make the placement that the settings name.
-
-    Args:
-      settings: The Settings of the agent.
+      choice: A string, a choice of the rule `placement`.
     Returns:
       An object with `choose(workers, zone)`.
     """
-    return _placements[settings.limits.placement]()
+    return rules.implementation("placement", choice)()
 
 
-def queue(settings):
-    """Make the queue of jobs that the settings name.
+def queue(choice=rules.RULES["queueing"].default):
+    """Make a queue of jobs.
 
     Args:
-      settings: The Settings of the agent.
+      choice: A string, a choice of the rule `queueing`.
     Returns:
       An object with `add`, `discard`, `jobs` and a length.
     """
-    return _queues[settings.limits.queue]()
+    return rules.implementation("queueing", choice)()
 
 
-@register(_placements, "round_robin")
+@rules.implements("placement", "round_robin")
 class RoundRobin:
     """Take the workers in turn, whether they are busy or not."""
 
@@ -79,7 +60,7 @@
         return workers[self._turn % len(workers)]
 
 
-@register(_placements, "least_loaded")
+@rules.implements("placement", "least_loaded")
 class LeastLoaded:
     """Take the worker with the most room, the nearest of equals."""
 
@@ -102,8 +83,8 @@
     return (worker.backlog / max(1, worker.slots), worker.member.zone != zone)
 
 
-@register(_queues, "fifo")
-class Fifo:
+@rules.implements("queueing", "arrival")
+class Arrival:
     """Serve urgent jobs first, and jobs of one class as they came."""
 
     __slots__ = ("_by_urgency",)
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -52,7 +52,13 @@
         self.identity = link.Identity(
             "entry", settings.name, incarnation, settings.zone
         )
-        self.journal = journal.open_journal(settings.name, incarnation, wall)
+        self.journal = journal.open_journal(
+            settings.name,
+            incarnation,
+            wall,
+            settings.limits.audit_records,
+            self.cluster_key,
+        )
         self.membership = membership.Membership(wall, self.journal)
         self.issuer = issuer.Issuer(
             wall,
@@ -84,7 +90,7 @@
                 driver=self.settings.store.driver,
                 timeout_ms=self.settings.store.timeout_ms,
             )
-        )
+        ).unwrap()
         self.ledger = ledger.Ledger(self._store, self.latest, self.clock)
         self.ledger.subscribe_reads(self.freshness.store_read)
         stream = self.settings.stream
@@ -120,7 +126,7 @@
         self.peers.close()
         for presence in self.membership.present():
             presence.link.close()
-        self._server.close()
+        await self._server.close()
         await self._runner.cleanup()
         await self._store.close()
 
