--- a/examples/generate.py
+++ b/examples/generate.py
@@ -78,7 +78,7 @@
         f'  http: "127.0.0.1:{port + 100}",',
         f'  metrics: "127.0.0.1:{port + 200}",',
         *_entries(deployment),
-        f'  store: {{address: "127.0.0.1:{deployment.base_port}", timeout_ms: 2000}},',
+        f'  store: {{address: "http://127.0.0.1:{deployment.base_port}"}},',
         *_tokens("caller_tokens", deployment.tenants),
         *_tokens("operator_tokens", deployment.operators),
         *_limits(deployment),
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -13,6 +13,7 @@
         stream: "127.0.0.1:7100",
         http: "127.0.0.1:7100",
         entries: {"entry-1": "localhost:7100", "entry 2": "127.0.0.1:0"},
+        store: {address: "10.0.0.9:2379", timeout_ms: 1},
         caller_tokens: {"agencies": "a token of agencies"},
         operator_tokens: {"duty": "a token of agencies"},
         limits: {windw_ms: 1000, permit_ms: 600, candidates: 1, max_jobs: "many"},
@@ -30,7 +31,8 @@
       entry-1.json5: limits.max_jobs: "many" isn't a whole number; write a whole number from 1 to 1000000
       entry-1.json5: limits.candidates: 1 is out of range; write a whole number from 2 to 64
       entry-1.json5: limits.permit_ms: 600 ms is less than two heartbeats of 500 ms; raise permit_ms or lower heartbeat_ms
-      entry-1.json5: store: missing; add it (the platform's service)
+      entry-1.json5: store.address: "10.0.0.9:2379" isn't a URL; write one such as "http://10.0.0.9:2379"
+      entry-1.json5: store.timeout_ms: 1 is out of range; write a whole number from 50 to 30000
       entry-1.json5: http: the address of stream too; give each its own port
       entry-1.json5: operator_tokens.duty: the same token as caller_tokens.agencies; give each its own
       """
--- a/packages/core/src/jujubeglade/core/_settings_check.py
+++ b/packages/core/src/jujubeglade/core/_settings_check.py
@@ -15,6 +15,7 @@
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]*")
 _ADDRESS = re.compile(r"(?:\[(?P<v6>[^\]]+)\]|(?P<v4>[^:\[\]]+)):(?P<port>[0-9]{1,5})")
+_SCHEMES = ("http", "https")
 _NEAR = 0.75
 _ADDRESS_REMEDY = 'write an IP number and a port, such as "10.0.0.1:7100"'
 
@@ -256,8 +257,19 @@
     return _UNREADABLE if _UNREADABLE in (*items, *items.values()) else items
 
 
+@reader("url")
+def _read_url(value, rule, path, report):
+    text = value if isinstance(value, str) else ""
+    scheme, _, rest = text.partition("://")
+    if scheme not in _SCHEMES:
+        cause = f"{_shown(value)} isn't a URL"
+        remedy = 'write one such as "http://10.0.0.9:2379"'
+        return report.add(path, cause, remedy)
+    address = _read_address(rest.rstrip("/"), rule, path, report)
+    return _UNREADABLE if address is _UNREADABLE else f"{scheme}://{address}"
+
+
 @reader("listener")
-@reader("peer")
 def _read_address(value, rule, path, report):
     found = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
     if not found:
--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -116,12 +116,15 @@
     """The platform's key-value service, as an entry reaches it."""
 
     driver: str = rules.choice(
-        ("http", "memory"),
-        "The driver: `http` for the platform's service, `memory` for trials.",
-        "http",
+        ("etcd", "memory"),
+        "The driver: `etcd` for the platform's service, `memory` for trials.",
+        "etcd",
     )
-    address: Address = rules.peer("Address of the service.")
+    address: str = rules.url("Base URL of the service.")
     timeout_ms: int = rules.integer(50, 30_000, "Longest wait for an answer.", 2_000)
+    token: str = rules.secret(
+        1, "Sent as `Authorization`, as it stands; empty sends none.", ""
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/src/jujubeglade/core/_settings_rules.py
+++ b/packages/core/src/jujubeglade/core/_settings_rules.py
@@ -111,17 +111,18 @@
     return _field(Rule("choice", doc, choices=choices), **_options(default))
 
 
-def secret(low, doc):
-    """Declare a required string that no message or log line may show.
+def secret(low, doc, default=dataclasses.MISSING):
+    """Declare a string that no message or log line may show.
 
     Args:
       low: An integer, the least number of characters.
       doc: A string, the sentence of the reference page.
+      default: A string; without one the field is required.
 
     Returns:
       A dataclasses.Field.
     """
-    return _field(Rule("secret", doc, low, 512), repr=False)
+    return _field(Rule("secret", doc, low, 512), repr=False, **_options(default))
 
 
 def secrets(low, doc):
@@ -162,8 +163,8 @@
     return _field(Rule("loopback", doc, 0, 65535))
 
 
-def peer(doc):
-    """Declare a required address of another process.
+def url(doc):
+    """Declare a required base URL with an IP number and a port.
 
     Args:
       doc: A string, the sentence of the reference page.
@@ -171,7 +172,7 @@
     Returns:
       A dataclasses.Field.
     """
-    return _field(Rule("peer", doc, 1, 65535))
+    return _field(Rule("url", doc, 1, 65535))
 
 
 def peers(doc):
--- a/packages/core/src/jujubeglade/core/problem.py
+++ b/packages/core/src/jujubeglade/core/problem.py
@@ -38,6 +38,7 @@
     SYNTAX = "syntax"
     SETTINGS = "settings"
     FRAME = "frame"
+    UNREACHABLE = "unreachable"
     INTERNAL = "internal"
 
 
--- a/packages/core/src/jujubeglade/core/settings_page.py
+++ b/packages/core/src/jujubeglade/core/settings_page.py
@@ -28,7 +28,7 @@
     "secret": "secret",
     "secrets": "names to secrets",
     "listener": "address",
-    "peer": "address",
+    "url": "URL",
     "loopback": "loopback address",
     "peers": "names to addresses",
     "record": "object",
@@ -77,7 +77,8 @@
     if rule.kind == "integer":
         return f"{rule.low} to {rule.high}"
     if rule.kind in ("secret", "secrets"):
-        return f"{shape} of {rule.low} characters or more"
+        unit = "character" if rule.low == 1 else "characters"
+        return f"{shape} of {rule.low} {unit} or more"
     return shape
 
 
@@ -85,7 +86,7 @@
     """Say what holds when the setting is absent."""
     if rules.is_required(field):
         return "required"
-    if field.default is dataclasses.MISSING or field.default is None:
+    if field.default in (dataclasses.MISSING, None, ""):
         return ""
     return f"`{field.default}`"
 
--- /dev/null
+++ b/packages/tools/src/jujubeglade/tools/checks.py
@@ -0,0 +1,55 @@
+"""Commands that judge: check of settings, audit verify."""
+
+from jujubeglade.core import settings
+from jujubeglade.tools import report as reports
+
+# A journal that its process still writes has no end yet; that is no fault.
+_OPEN_TAIL = "tail"
+
+
+def check_settings(paths, report):
+    """Check settings files and show every problem of each.
+
+    Args:
+      paths: A sequence of strings.
+      report: A Report.
+
+    Returns:
+      An Exit.
+    """
+    problems = []
+    for path in paths:
+        problems.extend(settings.load(path).err() or ())
+    rows = [(each.place, each.message, each.remedy) for each in problems]
+    report.rows(("place", "problem", "remedy"), rows)
+    if rows:
+        return reports.Exit.REFUSED
+    report.note(f"{len(paths)} files are right")
+    return reports.Exit.DONE
+
+
+async def verify_audit(operator, report, key):
+    """Fetch the audit records and verify their chains.
+
+    Args:
+      operator: A Client.
+      report: A Report.
+      key: Bytes, the cluster key that the records were made with.
+
+    Returns:
+      An Exit: REFUSED when anything but an open tail was found.
+    """
+    # The journal is imported here, since no other command needs it.
+    from jujubeglade.core import journal  # noqa: PLC0415
+
+    answer = await operator.audit()
+    if answer.is_err():
+        return report.refusal(answer.err())
+    records = journal.unpack(answer.ok())
+    if records.is_err():
+        return report.refusal(records.err())
+    findings = journal.verify(records.ok(), key)
+    report.rows(("finding", "detail"), [(each.kind, str(each)) for each in findings])
+    report.note(f"{len(records.ok())} records verified")
+    whole = all(each.kind == _OPEN_TAIL for each in findings)
+    return reports.Exit.DONE if whole else reports.Exit.REFUSED
