Refuse an audit without records, and share the stand-in entry

An audit command that verified nothing exited with 0. It now says that there are no records and exits with 1.

--- a/features/steps/tools_steps.py
+++ b/features/steps/tools_steps.py
@@ -1,16 +1,14 @@
 """Steps for the command line, run against stand-in entries."""
 
-import asyncio
 import contextlib
 import os
 import pathlib
 import re
 import shlex
 import tempfile
-import threading
 
-from aiohttp import web
 from behave import given, then, when
+from features import stand_in_entry
 from typer import testing
 
 from jujubeglade.tools import main
@@ -19,49 +17,6 @@
 UUID = re.compile(r"[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}")
 
 
-class StandInEntry:
-    """An entry that gives the answers it was told, in order."""
-
-    def __init__(self, answers):
-        """Take pairs of a status, or `lost`, and a body."""
-        self._answers = list(answers)
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever)
-        self._thread.start()
-        self.asked = []
-        self.url = self._call(self._start())
-
-    def _call(self, coroutine):
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result()
-
-    async def _start(self):
-        self._runner = web.ServerRunner(web.Server(self._answer, access_log=None))
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        return f"http://{host}:{port}"
-
-    async def _answer(self, request):
-        body = await request.json() if request.can_read_body else {}
-        self.asked.append((f"{request.method} {request.path}", body.get("id", "")))
-        # The last answer stands for all that follow.
-        status, text = self._answers[0]
-        if len(self._answers) > 1:
-            del self._answers[0]
-        if status == "lost":
-            request.transport.abort()
-            return web.Response()
-        return web.Response(status=int(status), text=text)
-
-    def close(self):
-        """Stop answering."""
-        self._call(self._runner.cleanup())
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
-        self._loop.close()
-
-
 def closers(context):
     if not hasattr(context, "closers"):
         context.closers = []
@@ -79,7 +34,8 @@
 
 @given("a stand-in entry that answers")
 def step_entry(context):
-    entry = StandInEntry((row["status"], row["body"]) for row in context.table)
+    answers = [(row["status"], row["body"].encode()) for row in context.table]
+    entry = stand_in_entry.StandInEntry(answers)
     closers(context).append(entry.close)
     context.stand_ins = [*getattr(context, "stand_ins", ()), entry]
 
--- a/packages/tools/src/jujubeglade/tools/checks.py
+++ b/packages/tools/src/jujubeglade/tools/checks.py
@@ -37,7 +37,7 @@
       key: Bytes, the cluster key that the records were made with.
 
     Returns:
-      An Exit: REFUSED when anything but an open tail was found.
+      An Exit: REFUSED when anything but an open tail was found, or no records.
     """
     # The journal is imported here, since no other command needs it.
     from jujubeglade.core import journal  # noqa: PLC0415
@@ -48,6 +48,9 @@
     records = journal.unpack(answer.ok())
     if records.is_err():
         return report.refusal(records.err())
+    if not records.ok():
+        report.note("there are no records to verify")
+        return reports.Exit.REFUSED
     findings = journal.verify(records.ok(), key)
     report.rows(("finding", "detail"), [(each.kind, str(each)) for each in findings])
     report.note(f"{len(records.ok())} records verified")
