--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -126,8 +126,11 @@
         "The driver: `etcd` for the JSON gateway of its third version.",
         "etcd",
     )
-    address: Address = rules.peer("Address of the service.")
+    address: str = rules.url("Base URL of the service.")
     timeout_ms: int = rules.integer(50, 30_000, "Longest wait for an answer.", 2_000)
+    token: str = rules.secret(
+        1, "Sent as `Authorization`, as it stands; empty sends none.", ""
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
