Measure what records cost; send each once; split large segments

pending takes the last sequence sent on the connection. A segment takes 2.5 MB packed, is encoded beside the event loop and split when it doesn't shrink. Ruled out: keeping records packed one by one in the entry, as each would carry its previous hash, which does not compress.

--- a/features/archive.feature
+++ b/features/archive.feature
@@ -77,6 +77,14 @@
     Then reading the store names 1 damaged segment
     And the story of job-1 has the line not recorded; gap in agent-1/aa from 1 to 3
 
+  Scenario: Records that don't shrink make more segments, all below a megabyte
+    When agent-1 records 40 times 60000 random characters
+    And 20 seconds of the archive pass
+    Then agent-1 and agent-2 have nothing left to send
+    And the store got at most one write a second
+    And no segment is larger than 950000 bytes
+    And the auditor of the store finds only open journals
+
   Scenario: A graceful shutdown leaves nothing behind
     When agent-1 records the whole of job-1
     And the archive finishes
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -18,6 +18,12 @@
     When the journal records 5 jobs
     Then two batches of 3 records from the journal are equal
 
+  Scenario: A connection sends each record once
+    When the journal records 2 jobs
+    Then the journal lists, after record 1, 2-accepted 3-accepted
+    And the journal lists, after record 3, nothing
+    And the journal lists 1-opened 2-accepted 3-accepted
+
   Scenario: A full buffer replaces the oldest records by one gap
     When the journal records 12 jobs
     Then the journal lists gap-1-to-7 8-accepted 9-accepted
--- a/features/steps/archive_steps.py
+++ b/features/steps/archive_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import random
+import string
 
 from behave import given, then, when
 from result import Err, Ok
@@ -74,10 +76,11 @@
         """Open the agent's journal."""
         self.journal = journal.open_journal(name, _IDS[name], manual, _CAPACITY, _KEY)
         self.archives = archives
+        self.batch_bytes = 2000
 
     def send(self):
         """Offer what is pending to each archive."""
-        batch = self.journal.pending(20, 2000)
+        batch = self.journal.pending(50, self.batch_bytes)
         for held in self.archives:
             if batch:
                 held.offer(batch)
@@ -206,6 +209,17 @@
     pass_seconds(context, seconds, record)
 
 
+@when("{name} records {count:d} times {size:d} random characters")
+def step_record_noise(context, name, count, size):
+    noise = random.Random(1)
+    alphabet = string.ascii_letters + string.digits + "-_"
+    sender = context.senders[name]
+    sender.batch_bytes = 10_000_000
+    for number in range(count):
+        text = "".join(noise.choices(alphabet, k=size))
+        sender.journal.record(journal.Kind.COMMAND, f"command-{number}", text=text)
+
+
 @when("the first segment is damaged")
 def step_damage(context):
     context.store.values[min(context.store.values)] = b"\x00 not zlib"
@@ -229,6 +243,13 @@
     assert 0 < len(context.store.writes) <= seconds
 
 
+@then("no segment is larger than {size:d} bytes")
+def step_largest(context, size):
+    sizes = [len(value) for value in context.store.values.values()]
+    assert len(sizes) > 1
+    assert max(sizes) <= size, sizes
+
+
 @then("the store holds {count:d} segments")
 def step_segments(context, count):
     assert len(context.store.values) == count, sorted(context.store.values)
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -82,6 +82,13 @@
     assert found == labels, found
 
 
+@then("the journal lists, after record {sequence:d}, {labels}")
+def step_lists_after(context, sequence, labels):
+    batch = context.journal.pending(_ALL, _ALL_BYTES, after=sequence)
+    found = " ".join(label(record) for record in batch)
+    assert found == labels.removesuffix("nothing"), found
+
+
 @then("two batches of {count:d} records from the journal are equal")
 def step_equal_batches(context, count):
     first = context.journal.pending(count, _ALL_BYTES)
--- a/packages/core/src/jujubeglade/core/_journal_buffer.py
+++ b/packages/core/src/jujubeglade/core/_journal_buffer.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+import itertools
 
 from jujubeglade.core import _journal_record
 
@@ -95,21 +96,22 @@
         if len(self._open) + len(self._sealed) > self._capacity:
             self._drop_oldest()
 
-    def pending(self, max_records, max_bytes):
+    def pending(self, max_records, max_bytes, after=0):
         """Seal and list the oldest records that are not acknowledged.
 
         Args:
-          max_records: An integer, at most half of the capacity counts.
+          max_records: An integer, how many at most.
           max_bytes: An integer; one record is returned even when it is larger.
+          after: An integer, the sequence of the last record sent on this connection
+            already; 0 after a reconnect or a refusal, to send from the start.
 
         Returns:
-          A tuple of Records, oldest first, each call beginning with the same one
-          until it is acknowledged.
+          A tuple of Records, oldest first; the same ones until acknowledged. At most
+          half of the capacity is sealed at a time.
         """
-        limit = min(max_records, max(1, self._capacity // 2))
         batch = []
         budget = max_bytes
-        for record, size in self._sealed_and_more(limit):
+        for record, size in itertools.islice(self._sealed_after(after), max_records):
             if batch and size > budget:
                 break
             batch.append(record)
@@ -138,15 +140,19 @@
         """Record that the journal ends here in order."""
         self.record(_journal_record.Kind.CLOSED_JOURNAL, self._process)
 
-    def _sealed_and_more(self, limit):
-        """Yield sealed records with their sizes, sealing more up to a limit."""
-        for index in range(limit):
-            if index == len(self._sealed) and not self._seal_next():
-                return
-            yield self._sealed[index]
+    def _sealed_after(self, sequence):
+        """Yield sealed records with their sizes, sealing more as needed."""
+        index = 0
+        while index < len(self._sealed) or self._seal_next():
+            sealed = self._sealed[index]
+            index += 1
+            if sealed[0].sequence > sequence:
+                yield sealed
 
     def _seal_next(self):
         """Give the oldest open record its hash; say whether there was one."""
+        if len(self._sealed) >= max(1, self._capacity // 2):
+            return False
         if self._gap is not None:
             entry, self._gap = self._gap, None
         elif self._open:
--- a/packages/core/src/jujubeglade/core/journal.py
+++ b/packages/core/src/jujubeglade/core/journal.py
@@ -6,7 +6,7 @@
 
     records = journal.open_journal("agent-3", "ab12", clock, key=cluster_key)
     records.record(journal.Kind.ACCEPTED, job, tenant="acme", tasks=100)
-    batch = records.pending(max_records=500, max_bytes=65536)
+    batch = records.pending(max_records=500, max_bytes=65536, after=last_sent)
     records.acknowledge(batch[-1].sequence)
 """
 
--- a/packages/dispatch/src/jujubeglade/entry/_archive_reader.py
+++ b/packages/dispatch/src/jujubeglade/entry/_archive_reader.py
@@ -5,6 +5,7 @@
 incarnation come in the order of their sequence.
 """
 
+import asyncio
 import dataclasses
 
 from result import Err, Ok
@@ -57,7 +58,7 @@
             case Err(_) as failed:
                 return failed
             case Ok(entries):
-                found = gathered.add(entries)
+                found = await asyncio.to_thread(gathered.add, entries)
         if any(_ends(record, subject) for record in found):
             until_ms = min(until_ms, bucket_ms + _READ_ON_MS)
         bucket_ms += _archive_segment.BUCKET_MS
@@ -79,7 +80,7 @@
             return failed
         case Ok(entries):
             gathered = _Gathered()
-            gathered.add(entries)
+            await asyncio.to_thread(gathered.add, entries)
     return Ok(gathered.found(limit))
 
 
--- a/packages/dispatch/src/jujubeglade/entry/_archive_segment.py
+++ b/packages/dispatch/src/jujubeglade/entry/_archive_segment.py
@@ -17,9 +17,10 @@
 
 PREFIX = "jujubeglade/records/"
 BUCKET_MS = 10_000
-# Compression makes a segment smaller, never larger than the store's bound.
-MAX_PACKED_BYTES = 900_000
-_MAX_UNPACKED_BYTES = 4_000_000
+# Records shrink to about a quarter; a segment that does not is split.
+MAX_PACKED_BYTES = 2_500_000
+MAX_VALUE_BYTES = 950_000
+_MAX_UNPACKED_BYTES = 4 * MAX_PACKED_BYTES
 _COMPRESSION_LEVEL = 6
 
 
--- a/packages/dispatch/src/jujubeglade/entry/archive.py
+++ b/packages/dispatch/src/jujubeglade/entry/archive.py
@@ -16,6 +16,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 
 from result import Err, Ok
@@ -29,18 +30,18 @@
 
 _WRITE_INTERVAL_MS = 1000
 _FLUSH_MS = 2000
-_MAX_WAITING_BYTES = 8_000_000
+_MAX_WAITING_BYTES = 4_000_000
 _OWN_BATCH_RECORDS = 1000
 _OWN_BATCH_BYTES = 256_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Segment:
-    """A segment whose write has not been confirmed."""
+    """A segment whose write has not been confirmed; without a value not encoded."""
 
     key: str
-    value: bytes
     records: tuple
+    value: bytes = b""
 
 
 class Archive:
@@ -54,7 +55,7 @@
         "_number",
         "_own",
         "_problem",
-        "_segment",
+        "_segments",
         "_store",
         "_writer",
     )
@@ -68,7 +69,7 @@
         self._intake = _archive_intake.Intake(max_bytes)
         self._listeners = []
         self._number = 0
-        self._segment = None
+        self._segments = collections.deque()
         self._problem = None
         self._flushed_ms = clock.now_ms()
 
@@ -86,8 +87,8 @@
         """Name whoever wants to know what the store holds.
 
         Args:
-          listener: A function of process, incarnation and sequence; called when the
-            sender may forget its records up to that sequence.
+          listener: A function of process, incarnation and sequence; called when that
+            other process may forget its records up to that sequence.
         """
         self._listeners.append(listener)
 
@@ -115,11 +116,9 @@
           Ok with None, also when nothing was due, or Err with the store's Problem.
         """
         self._collect_own()
-        if self._segment is None and self._is_due():
-            self._segment = self._next_segment()
-        if self._segment is None:
-            return Ok(None)
-        return await self._write()
+        if not self._segments and self._is_due():
+            self._take_segment()
+        return await self._write() if self._segments else Ok(None)
 
     async def run(self):
         """Step once a second until cancelled."""
@@ -134,8 +133,9 @@
           Ok with None when the store holds everything, or Err with its Problem.
         """
         self._collect_own()
-        while self._segment is not None or self._intake.waiting_records:
-            self._segment = self._segment or self._next_segment()
+        while self._segments or self._intake.waiting_records:
+            if not self._segments:
+                self._take_segment()
             match await self._write():
                 case Err(_) as failed:
                     return failed
@@ -179,20 +179,34 @@
         full = self._intake.waiting_bytes >= _archive_segment.MAX_PACKED_BYTES
         return full or self._clock.now_ms() - self._flushed_ms >= _FLUSH_MS
 
-    def _next_segment(self):
+    def _take_segment(self):
         """Make a segment of the oldest records."""
         bucket_ms, records = self._intake.take(_archive_segment.MAX_PACKED_BYTES)
-        value = _archive_segment.encode(records)
-        return _Segment(self._next_key(bucket_ms), value, records)
-
-    def _next_key(self, bucket_ms):
-        """Name the next segment."""
         self._number += 1
-        return _archive_segment.key_of(bucket_ms, self._writer, self._number)
+        key = _archive_segment.key_of(bucket_ms, self._writer, self._number)
+        self._segments.append(_Segment(key, records))
+
+    async def _encode(self):
+        """Encode the next segment beside the event loop, which serves callers.
+
+        One that is too large becomes two, which share the key up to its end.
+        """
+        segment = self._segments[0]
+        value = await asyncio.to_thread(_archive_segment.encode, segment.records)
+        self._segments.popleft()
+        if len(value) <= _archive_segment.MAX_VALUE_BYTES or len(segment.records) == 1:
+            self._segments.appendleft(dataclasses.replace(segment, value=value))
+            return
+        middle = len(segment.records) // 2
+        second = _Segment(f"{segment.key}.2", segment.records[middle:])
+        first = _Segment(f"{segment.key}.1", segment.records[:middle])
+        self._segments.extendleft((second, first))
 
     async def _write(self):
-        """Write the current segment, or find out that it was written before."""
-        segment = self._segment
+        """Write the next segment, or find out that it was written before."""
+        while not self._segments[0].value:
+            await self._encode()
+        segment = self._segments[0]
         written = await self._store.compare_and_swap(segment.key, segment.value, 0)
         match written:
             case Err(trouble) if trouble.kind is problem.Kind.CONFLICT:
@@ -202,7 +216,7 @@
                 self._problem = trouble
                 return Err(trouble)
         self._problem = None
-        self._segment = None
+        self._segments.popleft()
         self._flushed_ms = self._clock.now_ms()
         self._announce(self._intake.stored(segment.records))
         return Ok(None)
@@ -216,7 +230,7 @@
                 if entry.value == segment.value:
                     return Ok(entry.mod_revision)
         key = f"{segment.key}.again"
-        self._segment = dataclasses.replace(segment, key=key)
+        self._segments[0] = dataclasses.replace(segment, key=key)
         return Err(
             problem.Problem(
                 problem.Kind.CONFLICT,
@@ -232,6 +246,7 @@
         for process, incarnation, sequence in acknowledgements:
             if (process, incarnation) == mine:
                 self._own.acknowledge(sequence)
+                continue
             for listener in self._listeners:
                 listener(process, incarnation, sequence)
 
