Let the store expire records by leases

The store's interface has no delete, and needs none.

Ruled out: one lease for each segment (a call more for each write). Off by default: records are kept until the operators name a retention.

--- a/features/archive.feature
+++ b/features/archive.feature
@@ -85,6 +85,18 @@
     And no segment is larger than 950000 bytes
     And the auditor of the store finds only open journals
 
+  Scenario: Records are kept for their time, by leases that nobody renews
+    Given the archive keeps records for 8 days
+    When agent-1 records the whole of job-1
+    And 3 seconds of the archive pass
+    And 23 hours pass without records
+    And agent-1 records the whole of job-2
+    And 3 seconds of the archive pass
+    And 2 hours pass without records
+    And agent-1 records the whole of job-3
+    And 3 seconds of the archive pass
+    Then the segments stand under leases 1 1 2 of 216 hours
+
   Scenario: A graceful shutdown leaves nothing behind
     When agent-1 records the whole of job-1
     And the archive finishes
--- a/features/steps/archive_steps.py
+++ b/features/steps/archive_steps.py
@@ -26,6 +26,13 @@
     mod_revision: int
 
 
+@dataclasses.dataclass
+class StoredLease:
+    """A lease that the store granted."""
+
+    lease_id: int
+
+
 class FakeStore:
     """A store in memory that can be down or lose its answers."""
 
@@ -36,6 +43,8 @@
         self.lost_answers = 0
         self.writes = []
         self.reads = 0
+        self.leases = []
+        self.lease_of = {}
 
     def _problem(self, kind=problem.Kind.STORE):
         return Err(problem.Problem(kind, "the store failed", "wait"))
@@ -54,8 +63,16 @@
         keys = sorted(key for key in self.values if key.startswith(prefix))
         return Ok(tuple(StoredEntry(key, self.values[key], 1) for key in keys))
 
-    async def compare_and_swap(self, key, value, mod_revision):
+    async def grant(self, ttl_ms):
+        """Grant a lease."""
+        if self.down:
+            return self._problem()
+        self.leases.append(ttl_ms)
+        return Ok(StoredLease(len(self.leases)))
+
+    async def compare_and_swap(self, key, value, mod_revision, lease_id=0):
         """Create a key."""
+        self.lease_of[key] = lease_id
         assert len(value) < 1_000_000
         if self.down:
             return self._problem()
@@ -151,6 +168,27 @@
     connect(context)
 
 
+@given("the archive keeps records for {days:d} days")
+def step_retention(context, days):
+    retention_ms = days * 24 * 3600 * 1000
+    context.archives = [
+        make_archive(context, "entry-1", max_bytes=10000, retention_ms=retention_ms)
+    ]
+    connect(context)
+
+
+@when("{hours:d} hours pass without records")
+def step_hours(context, hours):
+    context.clock.advance(hours * 3600 * 1000)
+
+
+@then("the segments stand under leases {leases} of {hours:d} hours")
+def step_leases(context, leases, hours):
+    found = [context.store.lease_of[key] for key in context.store.writes]
+    assert " ".join(map(str, found)) == leases, found
+    assert set(context.store.leases) == {hours * 3600 * 1000}, context.store.leases
+
+
 @given("entry-2 got the records of agent-1 too, after its link to entry-1 broke")
 def step_second_entry(context):
     context.archives.append(make_archive(context, "entry-2"))
--- a/packages/bench/src/jujubeglade/bench/records.py
+++ b/packages/bench/src/jujubeglade/bench/records.py
@@ -38,18 +38,19 @@
         """Begin empty."""
         self.sizes = []
 
-    async def compare_and_swap(self, key, value, mod_revision):
+    async def compare_and_swap(self, key, value, mod_revision, lease_id=0):
         """Count a write.
 
         Args:
           key: A string, not used.
           value: Bytes.
           mod_revision: An integer, not used.
+          lease_id: An integer, not used.
 
         Returns:
           Ok with a revision.
         """
-        del key, mod_revision
+        del key, mod_revision, lease_id
         self.sizes.append(len(value))
         return Ok(1)
 
--- a/packages/dispatch/src/jujubeglade/entry/archive.py
+++ b/packages/dispatch/src/jujubeglade/entry/archive.py
@@ -23,7 +23,12 @@
 
 from jujubeglade.core import clock as clock_
 from jujubeglade.core import problem
-from jujubeglade.entry import _archive_intake, _archive_reader, _archive_segment
+from jujubeglade.entry import (
+    _archive_intake,
+    _archive_lease,
+    _archive_reader,
+    _archive_segment,
+)
 from jujubeglade.entry._archive_reader import Found
 
 __all__ = ["Archive", "Found", "open_archive"]
@@ -55,15 +60,17 @@
         "_number",
         "_own",
         "_problem",
+        "_retention",
         "_segments",
         "_store",
         "_writer",
     )
 
-    def __init__(self, writer, store, clock, own, max_bytes):
+    def __init__(self, store, clock, own, max_bytes, retention_ms):
         """Begin empty; use `open_archive`."""
-        self._writer = writer
+        self._writer = f"{own.process}.{own.incarnation}"
         self._store = store
+        self._retention = _archive_lease.Retention(store, clock, retention_ms)
         self._clock = clock
         self._own = own
         self._intake = _archive_intake.Intake(max_bytes)
@@ -207,20 +214,31 @@
         while not self._segments[0].value:
             await self._encode()
         segment = self._segments[0]
-        written = await self._store.compare_and_swap(segment.key, segment.value, 0)
-        match written:
-            case Err(trouble) if trouble.kind is problem.Kind.CONFLICT:
-                written = await self._meet(segment)
-        match written:
-            case Err(trouble):
+        match await self._put(segment):
+            case Err(trouble) as failed:
                 self._problem = trouble
-                return Err(trouble)
+                self._retention.forget()
+                return failed
         self._problem = None
         self._segments.popleft()
         self._flushed_ms = self._clock.now_ms()
         self._announce(self._intake.stored(segment.records))
         return Ok(None)
 
+    async def _put(self, segment):
+        """Create the segment's key unless it is there already."""
+        match await self._retention.lease_id():
+            case Err(_) as failed:
+                return failed
+            case Ok(lease_id):
+                written = await self._store.compare_and_swap(
+                    segment.key, segment.value, 0, lease_id
+                )
+        match written:
+            case Err(trouble) if trouble.kind is problem.Kind.CONFLICT:
+                return await self._meet(segment)
+        return written
+
     async def _meet(self, segment):
         """Find out whether the key's holder is this very segment."""
         match await self._store.get(segment.key):
@@ -251,7 +269,7 @@
                 listener(process, incarnation, sequence)
 
 
-def open_archive(own, store, clock, max_bytes=_MAX_WAITING_BYTES):
+def open_archive(own, store, clock, max_bytes=_MAX_WAITING_BYTES, retention_ms=0):
     """Make the archive of an entry.
 
     Args:
@@ -259,9 +277,9 @@
       store: A Store.
       clock: A Clock.
       max_bytes: An integer, how much may wait while the store does not answer.
+      retention_ms: An integer, how long the store keeps records; 0 for ever.
 
     Returns:
       An Archive.
     """
-    writer = f"{own.process}.{own.incarnation}"
-    return Archive(writer, store, clock, own, max_bytes)
+    return Archive(store, clock, own, max_bytes, retention_ms)
