Seal records whose detail msgpack can't encode

Cause: half a surrogate pair in a client's tenant, or a huge number, would have failed each later batch of that process. Such a record keeps its fields as text.

--- a/features/journal.feature
+++ b/features/journal.feature
@@ -64,3 +64,10 @@
     When the journal records 4 jobs
     Then the journal's records are equal after packing and unpacking
     And bytes that are no batch are refused as frame
+
+  Scenario: What can't be encoded is recorded as text and stops nothing
+    When the journal records a job whose tenant is half a surrogate pair
+    And the journal records a job whose size is 2 to the 70th
+    Then the journal lists 1-opened 2-accepted 3-accepted
+    And the journal's last record has size=1180591620717411303424
+    And the journal's records are equal after packing and unpacking
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -46,6 +46,16 @@
         context.journal.record(journal.Kind.ACCEPTED, f"job-{number}", tasks=1)
 
 
+@when("the journal records a job whose tenant is half a surrogate pair")
+def step_record_surrogate(context):
+    context.journal.record(journal.Kind.ACCEPTED, "job-\ud800", tenant="\ud800")
+
+
+@when("the journal records a job whose size is 2 to the 70th")
+def step_record_large(context):
+    context.journal.record(journal.Kind.ACCEPTED, "job-2", size=2**70)
+
+
 @when("the journal's records up to {sequence:d} are acknowledged")
 def step_acknowledge(context, sequence):
     context.journal.acknowledge(sequence)
--- a/packages/core/src/jujubeglade/core/_journal_buffer.py
+++ b/packages/core/src/jujubeglade/core/_journal_buffer.py
@@ -166,7 +166,11 @@
         """Make the Record of an open entry, with its size."""
         fields = (self._process, self._incarnation, *entry)
         link = (self._sealed_ms, self._last_hash)
-        digest, size = _journal_record.compute_hash(fields, *link, self._key)
+        try:
+            digest, size = _journal_record.compute_hash(fields, *link, self._key)
+        except (OverflowError, TypeError, ValueError):
+            fields = (*fields[:-2], *_encodable(*fields[-2:]))
+            digest, size = _journal_record.compute_hash(fields, *link, self._key)
         if size > _MAX_RECORD_BYTES:
             fields = (*fields[:-1], {"detail_dropped_bytes": size})
             digest, size = _journal_record.compute_hash(fields, *link, self._key)
@@ -189,6 +193,16 @@
         detail["last_ms"] = wall_ms
 
 
+def _encodable(subject, detail):
+    """Make text of what msgpack has no form for, such as half a surrogate pair."""
+    return _text(subject), {name: _text(value) for name, value in detail.items()}
+
+
+def _text(value):
+    """Make encodable text of any value."""
+    return str(value).encode("utf-8", "replace").decode("utf-8")
+
+
 def open_journal(process, incarnation, clock, capacity=_CAPACITY, key=b""):
     """Open the journal of this process.
 
