--- a/features/archive.feature
+++ b/features/archive.feature
@@ -24,6 +24,18 @@
     Then agent-1 and agent-2 have nothing left to send
     And the auditor of the store finds only open journals
 
+  Scenario: What is stored out of order is acknowledged in order
+    Given the store is down
+    When agent-1 records the whole of job-1
+    And 12 seconds of the archive pass
+    And agent-1 records the whole of job-2
+    And 1 seconds of the archive pass
+    And the store is up again
+    And 1 seconds of the archive pass
+    Then agent-1 has 3 records left to send
+    When 5 seconds of the archive pass
+    Then agent-1 and agent-2 have nothing left to send
+
   Scenario: A lost answer does not store records twice
     Given the store applies the next 2 writes but loses the answers
     When agent-1 records the whole of job-1
@@ -52,6 +64,7 @@
   Scenario: At most one write a second
     When agent-1 records 400 jobs while 40 seconds of the archive pass
     Then the store got at most one write a second
+    And the store got 20 writes
 
   Scenario: A job is found by its issue time without reading all
     When agent-1 records the whole of job-1
@@ -77,6 +90,26 @@
     Then reading the store names 1 damaged segment
     And the story of job-1 has the line not recorded; gap in agent-1/aa from 1 to 3
 
+  Scenario: Records that don't shrink make more segments, all below a megabyte
+    When agent-1 records 40 times 60000 random characters
+    And 20 seconds of the archive pass
+    Then agent-1 and agent-2 have nothing left to send
+    And the store got at most one write a second
+    And no segment is larger than 950000 bytes
+    And the auditor of the store finds only open journals
+
+  Scenario: Records are kept for their time, by leases that nobody renews
+    Given the archive keeps records for 8 days
+    When agent-1 records the whole of job-1
+    And 3 seconds of the archive pass
+    And 23 hours pass without records
+    And agent-1 records the whole of job-2
+    And 3 seconds of the archive pass
+    And 2 hours pass without records
+    And agent-1 records the whole of job-3
+    And 3 seconds of the archive pass
+    Then the segments stand under leases 1 1 2 of 216 hours
+
   Scenario: A graceful shutdown leaves nothing behind
     When agent-1 records the whole of job-1
     And the archive finishes
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -18,6 +18,12 @@
     When the journal records 5 jobs
     Then two batches of 3 records from the journal are equal
 
+  Scenario: A connection sends each record once
+    When the journal records 2 jobs
+    Then the journal lists, after record 1, 2-accepted 3-accepted
+    And the journal lists, after record 3, nothing
+    And the journal lists 1-opened 2-accepted 3-accepted
+
   Scenario: A full buffer replaces the oldest records by one gap
     When the journal records 12 jobs
     Then the journal lists gap-1-to-7 8-accepted 9-accepted
@@ -58,3 +64,10 @@
     When the journal records 4 jobs
     Then the journal's records are equal after packing and unpacking
     And bytes that are no batch are refused as frame
+
+  Scenario: What can't be encoded is recorded as text and stops nothing
+    When the journal records a job whose tenant is half a surrogate pair
+    And the journal records a job whose size is 2 to the 70th
+    Then the journal lists 1-opened 2-accepted 3-accepted
+    And the journal's last record has size=1180591620717411303424
+    And the journal's records are equal after packing and unpacking
--- a/features/steps/archive_steps.py
+++ b/features/steps/archive_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import random
+import string
 
 from behave import given, then, when
 from result import Err, Ok
@@ -24,6 +26,13 @@
     mod_revision: int
 
 
+@dataclasses.dataclass
+class StoredLease:
+    """A lease that the store granted."""
+
+    lease_id: int
+
+
 class FakeStore:
     """A store in memory that can be down or lose its answers."""
 
@@ -34,6 +43,8 @@
         self.lost_answers = 0
         self.writes = []
         self.reads = 0
+        self.leases = []
+        self.lease_of = {}
 
     def _problem(self, kind=problem.Kind.STORE):
         return Err(problem.Problem(kind, "the store failed", "wait"))
@@ -52,8 +63,16 @@
         keys = sorted(key for key in self.values if key.startswith(prefix))
         return Ok(tuple(StoredEntry(key, self.values[key], 1) for key in keys))
 
-    async def compare_and_swap(self, key, value, mod_revision):
+    async def grant(self, ttl_ms):
+        """Grant a lease."""
+        if self.down:
+            return self._problem()
+        self.leases.append(ttl_ms)
+        return Ok(StoredLease(len(self.leases)))
+
+    async def compare_and_swap(self, key, value, mod_revision, lease_id=0):
         """Create a key."""
+        self.lease_of[key] = lease_id
         assert len(value) < 1_000_000
         if self.down:
             return self._problem()
@@ -74,10 +93,11 @@
         """Open the agent's journal."""
         self.journal = journal.open_journal(name, _IDS[name], manual, _CAPACITY, _KEY)
         self.archives = archives
+        self.batch_bytes = 2000
 
     def send(self):
         """Offer what is pending to each archive."""
-        batch = self.journal.pending(20, 2000)
+        batch = self.journal.pending(50, self.batch_bytes)
         for held in self.archives:
             if batch:
                 held.offer(batch)
@@ -148,6 +168,27 @@
     connect(context)
 
 
+@given("the archive keeps records for {days:d} days")
+def step_retention(context, days):
+    retention_ms = days * 24 * 3600 * 1000
+    context.archives = [
+        make_archive(context, "entry-1", max_bytes=10000, retention_ms=retention_ms)
+    ]
+    connect(context)
+
+
+@when("{hours:d} hours pass without records")
+def step_hours(context, hours):
+    context.clock.advance(hours * 3600 * 1000)
+
+
+@then("the segments stand under leases {leases} of {hours:d} hours")
+def step_leases(context, leases, hours):
+    found = [context.store.lease_of[key] for key in context.store.writes]
+    assert " ".join(map(str, found)) == leases, found
+    assert set(context.store.leases) == {hours * 3600 * 1000}, context.store.leases
+
+
 @given("entry-2 got the records of agent-1 too, after its link to entry-1 broke")
 def step_second_entry(context):
     context.archives.append(make_archive(context, "entry-2"))
@@ -206,6 +247,17 @@
     pass_seconds(context, seconds, record)
 
 
+@when("{name} records {count:d} times {size:d} random characters")
+def step_record_noise(context, name, count, size):
+    noise = random.Random(1)
+    alphabet = string.ascii_letters + string.digits + "-_"
+    sender = context.senders[name]
+    sender.batch_bytes = 10_000_000
+    for number in range(count):
+        text = "".join(noise.choices(alphabet, k=size))
+        sender.journal.record(journal.Kind.COMMAND, f"command-{number}", text=text)
+
+
 @when("the first segment is damaged")
 def step_damage(context):
     context.store.values[min(context.store.values)] = b"\x00 not zlib"
@@ -229,6 +281,13 @@
     assert 0 < len(context.store.writes) <= seconds
 
 
+@then("no segment is larger than {size:d} bytes")
+def step_largest(context, size):
+    sizes = [len(value) for value in context.store.values.values()]
+    assert len(sizes) > 1
+    assert max(sizes) <= size, sizes
+
+
 @then("the store holds {count:d} segments")
 def step_segments(context, count):
     assert len(context.store.values) == count, sorted(context.store.values)
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -46,6 +46,16 @@
         context.journal.record(journal.Kind.ACCEPTED, f"job-{number}", tasks=1)
 
 
+@when("the journal records a job whose tenant is half a surrogate pair")
+def step_record_surrogate(context):
+    context.journal.record(journal.Kind.ACCEPTED, "job-\ud800", tenant="\ud800")
+
+
+@when("the journal records a job whose size is 2 to the 70th")
+def step_record_large(context):
+    context.journal.record(journal.Kind.ACCEPTED, "job-2", size=2**70)
+
+
 @when("the journal's records up to {sequence:d} are acknowledged")
 def step_acknowledge(context, sequence):
     context.journal.acknowledge(sequence)
@@ -82,6 +92,13 @@
     assert found == labels, found
 
 
+@then("the journal lists, after record {sequence:d}, {labels}")
+def step_lists_after(context, sequence, labels):
+    batch = context.journal.pending(_ALL, _ALL_BYTES, after=sequence)
+    found = " ".join(label(record) for record in batch)
+    assert found == labels.removesuffix("nothing"), found
+
+
 @then("two batches of {count:d} records from the journal are equal")
 def step_equal_batches(context, count):
     first = context.journal.pending(count, _ALL_BYTES)
