Add the ledger, permits, votes and the stages of a change

Cause: an entry needs the configuration of the store, must write commands to it exactly once although answers get lost, and must grant permits through an outage without keeping a drained zone alive when it alone lost the store. Ruled out: counting the answers of restarted entries towards 'heard from every other entry' (two that restart vouch for each other and outvote the one change that only they had acknowledged); 'in force' on the agents' word alone (an agent that restarts could get an older permit from an entry that was cut off, so every entry must hold the change too). Conclusion: each voter rule and each way of losing an answer has a scenario.

--- /dev/null
+++ b/features/ledger.feature
@@ -0,0 +1,87 @@
+Feature: Commands reach the store exactly once and every entry hears of them
+
+  Background:
+    Given a stand-in store
+    And the ledgers A and B on the stand-in store
+
+  Scenario: A command is answered, and its repetition finds the first answer
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger answer is "applied at revision 1"
+    When the ledger B submits "c1" to drain "east"
+    Then the ledger answer is "applied at revision 1"
+    And the ledger document in the store has 1 outcomes
+
+  Scenario: One command id stands for one command
+    When the ledger A submits "c1" to drain "east"
+    And the ledger B submits "c1" to drain "west"
+    Then the ledger answer is "command id c1 stands for: drain_zone zone=east"
+
+  Scenario Outline: A lost answer is found again by id
+    Given the stand-in store is set to {"lose_answers":<lost>}
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger answer is "applied at revision 1"
+    And the ledger document in the store has 1 outcomes
+
+    Examples:
+      | lost |
+      | 1    |
+      | 2    |
+
+  Scenario: The answer is lost and the store stays silent
+    Given the stand-in store goes down after its next write without an answer
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger answer begins "unknown" with the outcome "unknown"
+    And the ledger remedy is "ask again with the same command id"
+    When the stand-in store is set to {"down":false}
+    And the ledger B submits "c1" to drain "east"
+    Then the ledger answer is "applied at revision 1"
+    And the ledger document in the store has 1 outcomes
+
+  Scenario: Nothing reached a store that is down
+    Given the stand-in store is set to {"down":true}
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger answer begins "not recorded" with the outcome "request_not_run"
+    When the stand-in store is set to {"down":false}
+    Then the ledger document in the store has 0 outcomes
+
+  Scenario: A write that takes effect late is one command still
+    Given the stand-in store hangs from its next write on
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger answer begins "unknown" with the outcome "unknown"
+    When the stand-in store is set to {"hang":false}
+    And the ledger B submits "c1" to drain "east"
+    Then the ledger answer is "applied at revision 1"
+    And the ledger document in the store has 1 outcomes
+
+  Scenario: The loser of a race is told who won, each time it asks
+    When the ledger A submits "c1" to drain "east"
+    And the ledgers race: A submits "c2" to restore "east" while B's "c3" drains "west" and "c4" restores "east"
+    Then the ledger answer is "unchanged at revision 4"
+    And the ledger document in the store has 4 outcomes
+    When the ledger A submits "c5" to drain "east" expecting revision 1
+    Then the ledger answer is "command c4 changed zone east first, at revision 3"
+    And the ledger remedy is "nothing was changed; look, and if you still want it send it with a new id"
+    When the ledger B submits "c5" to drain "east"
+    Then the ledger answer is "command c4 changed zone east first, at revision 3"
+
+  Scenario: Two conflicting commands at once have one winner
+    When the ledger A submits "c1" to drain "east"
+    And the ledgers race: A submits "c2" to restore "east" while B's "c3" restores "east" and "c4" drains "east"
+    Then the ledger answer is "command c4 changed zone east first, at revision 3"
+
+  Scenario: A change is seen through the watch, between two polls
+    Given the ledger B polls each 60000 ms
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger B hears of revision 1
+
+  Scenario: A change is seen by the poll when the watch is dead
+    Given the ledger B polls each 50 ms without a watch
+    When the ledger A submits "c1" to drain "east"
+    Then the ledger B hears of revision 1
+
+  Scenario: A store that lost its data does not take a configuration back
+    When the ledger A submits "c1" to drain "east"
+    And the ledger's document in the store is emptied
+    And the ledger A submits "c2" to drain "west"
+    Then the ledger answer begins "not recorded" with the outcome "request_not_run"
+    And the ledger A holds revision 1
--- /dev/null
+++ b/features/steps/ledger_steps.py
@@ -0,0 +1,221 @@
+"""Steps for the ledger; the stand-in store is that of the store steps."""
+
+import asyncio
+
+from behave import given, then, when
+
+from jujubeglade.core import clock, configuration, problem
+from jujubeglade.entry import latest, ledger
+
+_WAIT_S = 10
+_SUBMIT_MS = 700
+_RETRY_MS = 10
+_LONG_POLL_MS = 60000
+
+
+def run(context, coroutine):
+    return context.runner.run(asyncio.wait_for(coroutine, _WAIT_S))
+
+
+class _WithoutWatch:
+    """A store whose watches end at once."""
+
+    def __init__(self, held):
+        self._held = held
+
+    def __getattr__(self, name):
+        return getattr(self._held, name)
+
+    async def watch(self, prefix):
+        return
+        yield prefix
+
+
+class _Interrupted:
+    """A store that lets something happen just before its next write."""
+
+    def __init__(self, held, interrupt):
+        self._held = held
+        self._interrupt = interrupt
+
+    def __getattr__(self, name):
+        return getattr(self._held, name)
+
+    async def compare_and_swap(self, *arguments):
+        interrupt, self._interrupt = self._interrupt, None
+        if interrupt is not None:
+            await interrupt()
+        return await self._held.compare_and_swap(*arguments)
+
+
+def make_ledger(held, poll_ms=_LONG_POLL_MS):
+    settings = ledger.Settings(
+        poll_ms=poll_ms, submit_ms=_SUBMIT_MS, retry_ms=_RETRY_MS
+    )
+    known = latest.Latest()
+    return ledger.Ledger(held, known, clock.system_clock(), settings), known
+
+
+async def submit(a_ledger, command_id, change, revision=None):
+    text = configuration.describe(change)
+    command = configuration.Command(command_id, text, "ana", 0, revision)
+    return await a_ledger.submit(change, command)
+
+
+def change_of(verb, zone):
+    kinds = {
+        "drain": configuration.DrainZone,
+        "restore": configuration.RestoreZone,
+    }
+    return kinds[verb.rstrip("s")](zone)
+
+
+@given("the ledgers A and B on the stand-in store")
+def step_ledgers(context):
+    context.ledgers = {name: make_ledger(context.store)[0] for name in "AB"}
+    context.known = {}
+
+
+def replace_store(context, interrupt):
+    held = _Interrupted(context.store, interrupt)
+    context.ledgers["A"] = make_ledger(held)[0]
+
+
+@given("the stand-in store goes down after its next write without an answer")
+def step_down_after_write(context):
+    async def interrupt():
+        # The write takes effect first: the watch tells when to go down.
+        context.fake.lose_answers(1)
+        context.down = asyncio.create_task(go_down(context))
+        await watched(context.fake)
+
+    replace_store(context, interrupt)
+
+
+async def go_down(context):
+    async for _ in context.store.watch(ledger.KEY):
+        await context.fake.set_down(True)
+        return
+
+
+async def watched(fake):
+    while not fake.watchers:
+        await asyncio.sleep(0.01)
+
+
+@given("the stand-in store hangs from its next write on")
+def step_hang_at_write(context):
+    async def interrupt():
+        context.fake.set_hang(True)
+
+    replace_store(context, interrupt)
+
+
+@given("the ledger {name} polls each {poll_ms:d} ms")
+def step_polls(context, name, poll_ms):
+    begin(context, name, context.store, poll_ms)
+    run(context, watched(context.fake))
+
+
+@given("the ledger {name} polls each {poll_ms:d} ms without a watch")
+def step_polls_only(context, name, poll_ms):
+    begin(context, name, _WithoutWatch(context.store), poll_ms)
+
+
+def begin(context, name, held, poll_ms):
+    a_ledger, context.known[name] = make_ledger(held, poll_ms)
+    context.ledgers[name] = a_ledger
+    task = context.runner.get_loop().create_task(a_ledger.run())
+    context.closers.append(lambda: run(context, ended(task)))
+
+
+async def ended(task):
+    task.cancel()
+    await asyncio.wait([task])
+
+
+@when('the ledger {name} submits "{command_id}" to {verb} "{zone}"')
+def step_submit(context, name, command_id, verb, zone):
+    change = change_of(verb, zone)
+    context.answer = run(context, submit(context.ledgers[name], command_id, change))
+
+
+@when(
+    'the ledger {name} submits "{command_id}" to {verb} "{zone}" '
+    "expecting revision {revision:d}"
+)
+def step_submit_expecting(context, name, command_id, verb, zone, revision):
+    change = change_of(verb, zone)
+    attempt = submit(context.ledgers[name], command_id, change, revision)
+    context.answer = run(context, attempt)
+
+
+@when(
+    'the ledgers race: A submits "{own}" to {verb} "{zone}" while B\'s '
+    '"{first}" {verb1} "{zone1}" and "{second}" {verb2} "{zone2}"'
+)
+def step_race(context, **words):
+    async def interrupt():
+        b = context.ledgers["B"]
+        first = change_of(words["verb1"], words["zone1"])
+        second = change_of(words["verb2"], words["zone2"])
+        (await submit(b, words["first"], first)).unwrap()
+        (await submit(b, words["second"], second)).unwrap()
+
+    replace_store(context, interrupt)
+    change = change_of(words["verb"], words["zone"])
+    context.answer = run(context, submit(context.ledgers["A"], words["own"], change))
+
+
+@when("the ledger's document in the store is emptied")
+def step_emptied(context):
+    entry = run(context, context.store.get(ledger.KEY)).unwrap()
+    swap = context.store.compare_and_swap(ledger.KEY, b"", entry.mod_revision)
+    run(context, swap).unwrap()
+
+
+def describe(answer):
+    if answer.is_err():
+        return answer.err_value.message
+    return f"{answer.ok_value.status} at revision {answer.ok_value.revision}"
+
+
+@then('the ledger answer is "{expected}"')
+def step_answer(context, expected):
+    assert describe(context.answer) == expected, context.answer
+
+
+@then('the ledger answer begins "{expected}" with the outcome "{outcome}"')
+def step_answer_begins(context, expected, outcome):
+    assert describe(context.answer).startswith(expected), context.answer
+    assert context.answer.err_value.outcome is problem.Outcome(outcome)
+
+
+@then('the ledger remedy is "{expected}"')
+def step_remedy(context, expected):
+    assert context.answer.err_value.remedy == expected
+
+
+@then("the ledger document in the store has {count:d} outcomes")
+def step_in_store(context, count):
+    entry = run(context, context.store.get(ledger.KEY)).unwrap()
+    document = configuration.parse(entry.value).unwrap()
+    assert len(document.outcomes) == count, document
+
+
+@then("the ledger {name} holds revision {revision:d}")
+def step_holds(context, name, revision):
+    assert context.ledgers[name].document.revision == revision
+
+
+@then("the ledger {name} hears of revision {revision:d}")
+def step_hears(context, name, revision):
+    run(context, heard(context.known[name], revision))
+
+
+async def heard(known, revision):
+    document = asyncio.Future()
+    known.subscribe(document.set_result)
+    if known.revision < revision:
+        await document
+    assert known.revision == revision
--- /dev/null
+++ b/features/steps/permits_steps.py
@@ -0,0 +1,201 @@
+"""Steps for permits: entries in one process, joined by links that can be cut."""
+
+import asyncio
+
+import result
+from behave import given, then, when
+
+from jujubeglade.core import clock, configuration, problem
+from jujubeglade.entry import acceptance, freshness, latest, vote
+
+_WAIT_S = 10
+_DRAIN = 5
+
+
+class _Entry:
+    """One entry: its memory, and all that a restart loses."""
+
+    def __init__(self, cluster, name):
+        others = [peer for peer in cluster.names if peer != name]
+        self.latest = latest.Latest()
+        self.voter = vote.Voter(name, others, self.latest)
+
+        async def ask(peer, message):
+            return await cluster.ask(name, peer, message)
+
+        async def fetch(peer):
+            return await cluster.fetch(name, peer)
+
+        self.freshness = freshness.Freshness(
+            self.voter, self.latest, cluster.clock, ask, fetch
+        )
+        self.acceptance = acceptance.Acceptance(
+            self.voter, self.latest, cluster.clock, ask
+        )
+
+    def read_store(self, revision, begin_ms):
+        self.latest.offer(configuration.Document(revision))
+        self.freshness.store_read(begin_ms)
+
+
+class _Cluster:
+    """The entries, and which pairs of them are joined."""
+
+    def __init__(self, names):
+        self.names = names
+        self.clock = clock.ManualClock()
+        self.entries = {name: _Entry(self, name) for name in names}
+        self.cut = set()
+        self.hanging = set()
+        self.without_fetch = set()
+
+    def isolate(self, name):
+        self.cut |= {frozenset((name, peer)) for peer in self.names}
+
+    def join(self, name, peers):
+        self.cut -= {frozenset((name, peer)) for peer in peers}
+
+    async def ask(self, name, peer, message):
+        if peer in self.hanging:
+            await asyncio.Event().wait()
+        if frozenset((name, peer)) in self.cut:
+            return no_link()
+        return result.Ok(self.entries[peer].voter.answer(message))
+
+    async def fetch(self, name, peer):
+        if name in self.without_fetch or frozenset((name, peer)) in self.cut:
+            return no_link()
+        return result.Ok(self.entries[peer].latest.document)
+
+
+def no_link():
+    return result.Err(problem.Problem(problem.Kind.FRAME, "no link", "wait"))
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, _WAIT_S))
+
+
+@given("the permit entries {names}")
+def step_entries(context, names):
+    context.cluster = _Cluster(names.split())
+
+
+@given("all permit entries read the store at revision {revision:d}")
+def step_all_read(context, revision):
+    for entry in context.cluster.entries.values():
+        entry.read_store(revision, context.cluster.clock.now_ms())
+
+
+@given("the permit entry {name} reads the store at revision {revision:d}")
+@when("the permit entry {name} reads the store at revision {revision:d}")
+def step_read(context, name, revision):
+    now_ms = context.cluster.clock.now_ms()
+    context.cluster.entries[name].read_store(revision, now_ms)
+
+
+@when(
+    "the permit entry {name} reads the store at revision {revision:d}, "
+    "begun {ago_ms:d} ms ago"
+)
+def step_read_slowly(context, name, revision, ago_ms):
+    begin_ms = context.cluster.clock.now_ms() - ago_ms
+    context.cluster.entries[name].read_store(revision, begin_ms)
+
+
+@given("{duration_ms:d} ms pass for the permit entries")
+@when("{duration_ms:d} ms pass for the permit entries")
+def step_pass(context, duration_ms):
+    context.cluster.clock.advance(duration_ms)
+
+
+@given("the permit entry {name} is cut off")
+@when("the permit entry {name} is cut off")
+def step_cut(context, name):
+    context.cluster.isolate(name)
+
+
+@when("the permit entry {name} is joined to {peer} alone")
+def step_join(context, name, peer):
+    context.cluster.join(name, [peer])
+
+
+@when("the permit entry {name} is joined to {peer} alone, but fetches nothing")
+def step_join_without_fetch(context, name, peer):
+    context.cluster.join(name, [peer])
+    context.cluster.without_fetch.add(name)
+
+
+@when("the permit entry {name} is joined to all")
+def step_join_all(context, name):
+    context.cluster.join(name, context.cluster.names)
+
+
+@when("the permit entry {name} hangs")
+def step_hang(context, name):
+    context.cluster.hanging.add(name)
+
+
+@when("the permit entry {name} restarts")
+def step_restart(context, name):
+    context.cluster.entries[name] = _Entry(context.cluster, name)
+
+
+@given("a drain of revision 5 is recorded by {name}")
+@when("a drain of revision 5 is recorded by {name}")
+def step_drain(context, name):
+    context.cluster.entries[name].latest.offer(configuration.Document(_DRAIN))
+    spread(context, name)
+
+
+@when("{name} spreads the drain again")
+def step_spread(context, name):
+    spread(context, name)
+
+
+def spread(context, name):
+    run(context.cluster.entries[name].acceptance.spread())
+
+
+@when("all agents acknowledge the drain to {name}")
+def step_agents(context, name):
+    context.cluster.entries[name].acceptance.agents_acknowledged(_DRAIN)
+
+
+@then('the drain is "{stage}" at {name}')
+def step_stage(context, stage, name):
+    found = context.cluster.entries[name].acceptance.stage(_DRAIN)
+    assert found == stage, found
+
+
+@then("the permit entries {names} agree")
+def step_agree(context, names):
+    for name in names.split():
+        assert run(context.cluster.entries[name].freshness.agree()), name
+
+
+@then("the permit entry {name} does not agree")
+def step_disagree(context, name):
+    assert not run(context.cluster.entries[name].freshness.agree())
+
+
+@then("the permit of {name} is revision {revision:d} for {remaining_ms:d} ms")
+def step_permit(context, name, revision, remaining_ms):
+    now_ms = context.cluster.clock.now_ms()
+    found = context.cluster.entries[name].freshness.permit(now_ms)
+    assert found == freshness.Permit(revision, remaining_ms), found
+
+
+@then("the permit entry {name} holds revision {revision:d}")
+def step_holds(context, name, revision):
+    assert context.cluster.entries[name].latest.revision == revision
+
+
+@then("the permit entry {name} has the store on time")
+def step_on_time(context, name):
+    assert not context.cluster.entries[name].freshness.store_is_late()
+
+
+@then("the permit entry {name} finds the store late")
+def step_late(context, name):
+    assert context.cluster.entries[name].freshness.store_is_late()
