Carry audit records to the entries and the store

Cause: records stayed in the process that made them. The courier of each agent sends them to one entry, whose archive writes segments and reports what is held.

Before: no record left its process. Conclusion: the path is whole enough to build on.

--- a/packages/bench/src/jujubeglade/fakes/upstream.py
+++ b/packages/bench/src/jujubeglade/fakes/upstream.py
@@ -14,6 +14,7 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
 import re
 import time
 
@@ -95,7 +96,7 @@
           log_path: A path for the log of starts, or None.
         """
         if log_path is not None:
-            self._log = open(log_path, "a", buffering=1, encoding="utf-8")
+            self._log = pathlib.Path(log_path)
         app = web.Application(client_max_size=1 << 24)
         app.router.add_post("/tasks/{id}", self._run)
         app.router.add_delete("/tasks/{id}", self._cancel)
@@ -122,8 +123,6 @@
             self._announcing.cancel()
         await self._session.close()
         await self._runner.cleanup()
-        if self._log is not None:
-            self._log.close()
 
     def set_faults(self, fail=False, slow_factor=1):
         """Set the faults.
@@ -214,7 +213,8 @@
         )
         self.started.append(started)
         if self._log is not None:
-            self._log.write(json.dumps(dataclasses.asdict(started)) + "\n")
+            with self._log.open("a", encoding="utf-8") as log:
+                log.write(json.dumps(dataclasses.asdict(started)) + "\n")
 
 
 async def _serve(chosen):
--- a/packages/core/src/jujubeglade/core/_handshake.py
+++ b/packages/core/src/jujubeglade/core/_handshake.py
@@ -91,6 +91,7 @@
       writer: An asyncio.StreamWriter.
       cluster_key: Bytes.
       identity: An Identity, of this process.
+
     Returns:
       A Result of the other side's Identity, or of a Problem.
     """
@@ -116,6 +117,7 @@
       writer: An asyncio.StreamWriter.
       cluster_key: Bytes.
       identity: An Identity, of this process.
+
     Returns:
       A Result of the other side's Identity, or of a Problem.
     """
--- a/packages/core/src/jujubeglade/core/job.py
+++ b/packages/core/src/jujubeglade/core/job.py
@@ -130,6 +130,7 @@
 
     Args:
       key: A string, the job key.
+
     Returns:
       An Answer.
     """
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -76,6 +76,7 @@
 
         Args:
           body: A registered message.
+
         Returns:
           A boolean, false when the link is closed.
         """
@@ -94,6 +95,7 @@
           body: A registered message.
           timeout_ms: A number, how long to wait; None waits until the link
             closes.
+
         Returns:
           A Result of the answer's body. The problem of a lost answer says
           that the outcome is unknown.
@@ -184,6 +186,7 @@
       cluster_key: Bytes.
       identity: An Identity, of this process.
       handler: The handler of the link's messages.
+
     Returns:
       A Result of a Link whose `run` the caller must start, or of a Problem.
     """
@@ -263,6 +266,7 @@
       handler: The handler of the links' messages; its `on_link(link)` is
         called when a link is open.
       max_links: An integer, the bound of open links.
+
     Returns:
       A Listener.
     """
--- a/packages/core/src/jujubeglade/core/message.py
+++ b/packages/core/src/jujubeglade/core/message.py
@@ -23,6 +23,7 @@
 
     Args:
       code: An integer from 0 to 127, unique among the messages.
+
     Returns:
       A decorator that makes the class an immutable record and returns it.
     """
@@ -53,6 +54,7 @@
 
     Args:
       message: A registered record.
+
     Returns:
       Bytes.
     """
@@ -64,6 +66,7 @@
 
     Args:
       max_bytes: An integer, the largest message that is read.
+
     Returns:
       A msgpack.Unpacker; feed it bytes and iterate over the messages.
     """
@@ -80,6 +83,7 @@
 
     Args:
       data: Bytes, as `encode` made them.
+
     Returns:
       A Result of the record, or of a Problem of kind FRAME.
     """
@@ -94,6 +98,7 @@
 
     Args:
       error: An exception.
+
     Returns:
       A Problem of kind FRAME.
     """
@@ -171,6 +176,7 @@
 
     Args:
       cause: A Problem.
+
     Returns:
       A Refusal.
     """
@@ -189,6 +195,7 @@
 
     Args:
       refusal: A Refusal.
+
     Returns:
       A Problem.
     """
--- a/packages/core/src/jujubeglade/core/ticket.py
+++ b/packages/core/src/jujubeglade/core/ticket.py
@@ -85,6 +85,7 @@
       cluster_key: Bytes, shared by all processes of the cluster.
       issued_ms: An integer, the wall clock now.
       group: A sequence of incarnations, the home first.
+
     Returns:
       A Ticket.
     """
@@ -102,6 +103,7 @@
     Args:
       cluster_key: Bytes, shared by all processes of the cluster.
       text: A string, as a client sent it.
+
     Returns:
       A Result of a Ticket, or of a Problem of kind BAD_TICKET.
     """
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -5,10 +5,11 @@
 
 from aiohttp import web
 
-from jujubeglade.agent import announce, executor, home, permit, uplink
+from jujubeglade.agent import announce, courier, executor, home, permit, uplink
 from jujubeglade.core import clock, contract, journal, link, member, problem, ticket
 
 _TICK_MS = 1000
+_LAST_RECORDS_MS = 100
 
 
 class Agent:
@@ -40,6 +41,7 @@
             self.identity, wall, self.journal, self.permits, settings.limits
         )
         self.home = home.Home(self, self.executor)
+        self.courier = courier.Courier(self.journal, wall)
         self._uplinks = [
             uplink.Uplink(self, (entry.host, entry.port)) for entry in settings.entries
         ]
@@ -92,6 +94,7 @@
             self._spawn(each.run())
         self._spawn(self._beat())
         self._spawn(self._tick())
+        self._spawn(self._send_records())
 
     async def stop(self):
         """Leave gracefully: cut no request, then close everything."""
@@ -103,6 +106,10 @@
             async with asyncio.timeout(grace):
                 while not (self.executor.is_idle and self.home.is_idle):
                     await asyncio.sleep(clock.seconds(20))
+        self.executor.flush_records()
+        self.journal.close()
+        self.courier.send(self._entry_links())
+        await asyncio.sleep(clock.seconds(_LAST_RECORDS_MS))
         await self.close()
 
     async def close(self):
@@ -137,6 +144,7 @@
         Args:
           opened: The Link.
           body: A Claim or a Close.
+
         Returns:
           A Claimed, or a Problem.
         """
@@ -168,6 +176,16 @@
         for each in self._uplinks:
             each.heartbeat()
 
+    def _entry_links(self):
+        return [each.link for each in self._uplinks if each.link is not None]
+
+    async def _send_records(self):
+        while True:
+            await asyncio.sleep(clock.seconds(courier.SEND_MS))
+            self.journal.mark_when_quiet()
+            self.executor.flush_records(due_only=True)
+            self.courier.send(self._entry_links())
+
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
@@ -192,6 +210,7 @@
 
     Args:
       settings: The Settings of the agent.
+
     Returns:
       An Agent; start it with `start`.
     """
--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -14,6 +14,7 @@
 
     Args:
       agent: The Agent.
+
     Returns:
       An aiohttp.web.Application.
     """
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -21,7 +21,15 @@
 class ExecutedAttempt:
     """One attempt, from its acceptance to its end."""
 
-    __slots__ = ("body", "body_held", "entry", "state", "task_id", "upstream", "verdict")
+    __slots__ = (
+        "body",
+        "body_held",
+        "entry",
+        "state",
+        "task_id",
+        "upstream",
+        "verdict",
+    )
 
     def __init__(self, task_id, entry, state):
         """Remember an attempt.
@@ -96,6 +104,7 @@
     """The executor of one agent."""
 
     __slots__ = (
+        "_attempts",
         "_calls",
         "_clock",
         "_floor_ms",
@@ -126,6 +135,7 @@
         self._identity = identity
         self._clock = clock
         self._journal = journal
+        self._attempts = audit.open_attempts(journal, clock)
         self._permits = permits
         self._limits = limits
         self._upstreams = {}
@@ -177,6 +187,7 @@
 
         Args:
           lease: A string.
+
         Returns:
           An Upstream, or None.
         """
@@ -210,6 +221,7 @@
         Args:
           link: The Link of the owner that asks, or None for the local home.
           claim: A Claim.
+
         Returns:
           A Claimed.
         """
@@ -230,6 +242,7 @@
         Args:
           link: The Link of the owner that asks, or None for the local home.
           close: A Close.
+
         Returns:
           A Claimed.
         """
@@ -261,6 +274,17 @@
                 self._spawn(upstream.close())
         self.pump()
 
+    def flush_records(self, due_only=False):
+        """Bring the attempts noted so far into the journal.
+
+        Args:
+          due_only: A boolean, true leaves those that more may join.
+        """
+        if due_only:
+            self._attempts.flush_due()
+        else:
+            self._attempts.flush_all()
+
     async def drain(self):
         """Wait until every accepted task has ended."""
         while self._calls:
@@ -306,11 +330,8 @@
         if earlier is not None and earlier.state in _ACCEPTED:
             # A repeated frame: the attempt has been accepted and is answered once.
             return
-        if earlier is not None:
+        if earlier is not None or reason is None and _is_taken(known, entry):
             reason = contract.Reject.REPEATED
-        elif reason is None and not entry.task.repeatable:
-            if entry.index in known.taken:
-                reason = contract.Reject.REPEATED
         if reason is None and self._queued >= self._limits.max_queue_tasks:
             reason = contract.Reject.QUEUE_FULL
         if reason is None and entry.task.service not in self.services:
@@ -328,13 +349,7 @@
 
     def _reject(self, link, key, entry, reason, retry_after_ms=0):
         load = self.load()
-        self._journal.record(
-            audit.Kind.REJECTED,
-            key,
-            index=entry.index,
-            attempt=entry.attempt,
-            reason=str(reason),
-        )
+        self._attempts.note(audit.Kind.REJECTED, key, entry.index, entry.attempt)
         if link is not None:
             link.send(
                 contract.Rejected(
@@ -385,12 +400,9 @@
         attempt.upstream = upstream
         upstream.running += 1
         self._running += 1
-        self._journal.record(
-            audit.Kind.STARTED,
-            known.key,
-            index=attempt.task_id.index,
-            attempt=attempt.task_id.attempt,
-            generation=known.fence,
+        task_id = attempt.task_id
+        self._attempts.note(
+            audit.Kind.STARTED, known.key, task_id.index, task_id.attempt
         )
         self._spawn(self._call(known, attempt, upstream))
 
@@ -424,14 +436,6 @@
         attempt.verdict = ended.verdict
         attempt.body = ended.body
         self._hold(attempt)
-        self._journal.record(
-            audit.Kind.FINISHED,
-            known.key,
-            index=attempt.task_id.index,
-            attempt=attempt.task_id.attempt,
-            verdict=str(ended.verdict),
-            run_ms=run_ms,
-        )
         if known.owner is not None:
             known.owner.send(
                 contract.Finished(
@@ -500,3 +504,8 @@
         for attempt in known.attempts.values():
             # The bytes stay counted until the attempt leaves the queue of held ones.
             attempt.body_held = False
+
+
+def _is_taken(known, entry):
+    """Tell whether a task that may not be repeated was accepted before."""
+    return not entry.task.repeatable and entry.index in known.taken
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -111,6 +111,7 @@
 
         Args:
           submit: A Submit.
+
         Returns:
           An Answer, a Moved, or a Problem.
         """
@@ -134,6 +135,7 @@
 
         Args:
           query: A Query.
+
         Returns:
           An Answer, a Moved, or a Problem of kind UNKNOWN_JOB.
         """
@@ -147,6 +149,7 @@
 
         Args:
           cancel: A Cancel.
+
         Returns:
           The job's Answer, a Moved, or a Problem of kind UNKNOWN_JOB.
         """
@@ -162,6 +165,7 @@
 
         Args:
           cancel: A CancelTenant.
+
         Returns:
           A Count of the jobs cancelled.
         """
@@ -247,6 +251,7 @@
 
         Args:
           member: A Member.
+
         Returns:
           A Worker.
         """
@@ -276,6 +281,7 @@
         Args:
           candidate: A Worker.
           claim: A Claim or a Close.
+
         Returns:
           A Claimed, or None when no answer came.
         """
@@ -310,7 +316,9 @@
           candidate: A Worker.
           report: An Attempt.
         """
-        known.tasks[report.index].attempts[report.attempt] = candidate
+        task = known.tasks[report.index]
+        task.attempts[report.attempt] = candidate
+        task.holder = candidate.member
         candidate.outstanding.add((known.key, report.index, report.attempt))
 
     def release(self, known, index, attempt):
@@ -320,6 +328,7 @@
           known: An OwnedJob.
           index: An integer, the task's place.
           attempt: An integer.
+
         Returns:
           A boolean, whether it was out.
         """
@@ -435,6 +444,7 @@
         task = known.tasks[index]
         attempt = known.next_attempt(index)
         task.attempts[attempt] = chosen
+        task.holder = chosen.member
         task.placed_ms = now_ms
         chosen.outstanding.add((known.key, index, attempt))
         entry = contract.StartTask(index, attempt, task.task)
@@ -572,6 +582,7 @@
             generation=submit.generation,
             tenant=submit.submission.tenant,
             tasks=len(known.tasks),
+            candidates=_sources(submit.members),
         )
         by_incarnation = {member.incarnation: member for member in submit.members}
         known.workers = tuple(
@@ -632,7 +643,10 @@
     def _answer(self, known, answer):
         known.answer = answer
         self._journal.record(
-            audit.Kind.ANSWERED, known.key, state=str(answer.state), reason=answer.reason
+            audit.Kind.ANSWERED,
+            known.key,
+            state=str(answer.state),
+            reason=answer.reason,
         )
         self._release_all(known)
         self._finish(known)
@@ -683,3 +697,16 @@
         place="id",
         outcome=problem.Outcome.UNKNOWN,
     )
+
+
+def _sources(members):
+    """Name members as their own records do."""
+    return ",".join(f"{each.name}/{each.incarnation}" for each in members)
+
+
+def _ends(known, answer):
+    """Describe for the record how each task ended, and where."""
+    for task, ended in zip(known.tasks, answer.tasks, strict=True):
+        where = task.holder
+        source = f"{where.name}/{where.incarnation}" if where else ""
+        yield audit.TaskEnd(str(ended.outcome), source, task.attempts_made)
--- a/packages/dispatch/src/jujubeglade/agent/owned.py
+++ b/packages/dispatch/src/jujubeglade/agent/owned.py
@@ -10,7 +10,16 @@
 class OwnedTask:
     """One task of an owned job."""
 
-    __slots__ = ("answer", "attempts", "attempts_made", "evidence", "placed_ms", "rejects", "task")
+    __slots__ = (
+        "answer",
+        "attempts",
+        "attempts_made",
+        "evidence",
+        "holder",
+        "placed_ms",
+        "rejects",
+        "task",
+    )
 
     def __init__(self, task):
         """Start with no attempt.
@@ -22,6 +31,8 @@
         # The attempts that are out, by number, with the worker that holds each.
         self.attempts = {}
         self.attempts_made = 0
+        # The Member that the last attempt was placed on.
+        self.holder = None
         self.rejects = 0
         self.placed_ms = 0.0
         self.answer = None
@@ -93,6 +104,7 @@
 
         Args:
           index: An integer, the task's place.
+
         Returns:
           An integer that no generation draws twice for the task.
         """
--- a/packages/dispatch/src/jujubeglade/agent/permit.py
+++ b/packages/dispatch/src/jujubeglade/agent/permit.py
@@ -44,6 +44,7 @@
 
         Args:
           configuration: A member.Configuration.
+
         Returns:
           A boolean, whether it was applied.
         """
--- a/packages/dispatch/src/jujubeglade/agent/policy.py
+++ b/packages/dispatch/src/jujubeglade/agent/policy.py
@@ -12,12 +12,12 @@
 _PIPELINED = 1
 
 
-
 def placement(choice=rules.RULES["placement"].default):
     """Make a placement.
 
     Args:
       choice: A string, a choice of the rule `placement`.
+
     Returns:
       An object with `choose(workers, zone)`.
     """
@@ -29,6 +29,7 @@
 
     Args:
       choice: A string, a choice of the rule `queueing`.
+
     Returns:
       An object with `add`, `discard`, `jobs` and a length.
     """
@@ -51,6 +52,7 @@
         Args:
           workers: A list of Workers that may take it.
           zone: A string, the zone of the home.
+
         Returns:
           A Worker, or None.
         """
@@ -72,6 +74,7 @@
         Args:
           workers: A list of Workers that may take it.
           zone: A string, the zone of the home.
+
         Returns:
           A Worker with a free slot, or None.
         """
--- a/packages/dispatch/src/jujubeglade/agent/takeover.py
+++ b/packages/dispatch/src/jujubeglade/agent/takeover.py
@@ -162,12 +162,11 @@
     Args:
       home: A Home.
       known: An OwnedJob that is ending.
+
     Returns:
       A tuple of TaskAnswers, one a task.
     """
-    holders = {
-        holder for task in known.tasks for holder in task.attempts.values()
-    }
+    holders = {holder for task in known.tasks for holder in task.attempts.values()}
     holders |= _witness(home, known, holders)
     closes = [(holder, _close(known, holder)) for holder in holders]
     answers = await asyncio.gather(*(home.claim(*pair) for pair in closes))
--- a/packages/dispatch/src/jujubeglade/agent/uplink.py
+++ b/packages/dispatch/src/jujubeglade/agent/uplink.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from jujubeglade.core import clock, link, member, problem, routing
+from jujubeglade.core import audit, clock, link, member, problem, routing
 
 _REDIAL_MS = 300
 MAX_MISSED_MS = 2000
@@ -81,11 +81,10 @@
         if isinstance(body, member.Permit):
             self._agent.permits.grant(body)
             self._agent.on_permit()
+        elif isinstance(body, audit.Stored):
+            self._agent.courier.on_stored(body)
         elif isinstance(body, member.Configuration):
-            if self._agent.permits.apply(body):
-                self._agent.on_configuration()
-                # The entry learns of the revision at once, and grants under it.
-                self.heartbeat()
+            self._apply(body)
 
     async def on_request(self, opened, body):
         """Serve what the entry asks.
@@ -93,6 +92,7 @@
         Args:
           opened: The Link.
           body: A routing message.
+
         Returns:
           The answer's body, or a Problem.
         """
@@ -104,6 +104,12 @@
             )
         return await serve(body)
 
+    def _apply(self, configuration):
+        if self._agent.permits.apply(configuration):
+            self._agent.on_configuration()
+            # The entry learns of the revision at once, and grants under it.
+            self.heartbeat()
+
     async def _serve_link(self, opened):
         self._link = opened
         self._heard_ms = self._agent.clock.now_ms()
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -72,7 +72,14 @@
 class Upstream:
     """One announced upstream and the calls to it."""
 
-    __slots__ = ("_expires_ms", "_session", "announcement", "lease", "leaving", "running")
+    __slots__ = (
+        "_expires_ms",
+        "_session",
+        "announcement",
+        "lease",
+        "leaving",
+        "running",
+    )
 
     def __init__(self, lease, announcement, expires_ms, session):
         """Take over an announcement.
@@ -119,6 +126,7 @@
           payload: Bytes, a JSON text.
           start_by_ms: An integer, the wall time after which it may not begin.
           deadline_ms: An integer, the time after which its result is of no use.
+
         Returns:
           An Ended.
         """
@@ -166,6 +174,7 @@
       lease: A string, the name of the lease.
       announcement: An Announcement.
       now_ms: A number, the monotonic time.
+
     Returns:
       An Upstream.
     """
@@ -182,6 +191,7 @@
 
     Args:
       fields: A value decoded from JSON.
+
     Returns:
       A Result of an Announcement, or of a Problem that names the field.
     """
--- a/packages/dispatch/src/jujubeglade/agent/worker.py
+++ b/packages/dispatch/src/jujubeglade/agent/worker.py
@@ -101,6 +101,7 @@
 
         Args:
           timeout_ms: A number.
+
         Returns:
           A Link, or None when none came about in time.
         """
--- a/packages/dispatch/src/jujubeglade/daemon/main.py
+++ b/packages/dispatch/src/jujubeglade/daemon/main.py
@@ -42,6 +42,7 @@
 
     Args:
       checked: An EntrySettings or AgentSettings.
+
     Returns:
       An Entry or an Agent.
     """
--- a/packages/dispatch/src/jujubeglade/entry/callers.py
+++ b/packages/dispatch/src/jujubeglade/entry/callers.py
@@ -127,6 +127,7 @@
 
     Args:
       request: An aiohttp.web.Request.
+
     Returns:
       A value decoded from JSON, or None when it is none.
     """
@@ -141,6 +142,7 @@
 
     Args:
       *problems: Problems; the first one speaks for the request.
+
     Returns:
       An aiohttp.web.Response.
     """
@@ -172,6 +174,7 @@
     Args:
       place: A string, the field.
       remedy: A string.
+
     Returns:
       A Problem.
     """
@@ -188,6 +191,7 @@
 
     Args:
       retry_after_ms: An integer; 0 means do not.
+
     Returns:
       A dict of headers.
     """
--- a/packages/dispatch/src/jujubeglade/entry/cell.py
+++ b/packages/dispatch/src/jujubeglade/entry/cell.py
@@ -20,6 +20,7 @@
     Args:
       members: A list of Members.
       size: An integer, about how many members a cell has.
+
     Returns:
       A list of lists of Members; each is ranked by the same hash everywhere.
     """
@@ -36,6 +37,7 @@
     Args:
       members: A list of Members, ranked.
       chosen: An integer, the place of the home in that list.
+
     Returns:
       A list of Members: the home, then the others by turns of zones, so that the
       successors stand in other zones than the home where there are any.
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from jujubeglade.core import (
+    audit,
     clock,
     configuration,
     journal,
@@ -18,6 +19,7 @@
 )
 from jujubeglade.entry import (
     acceptance,
+    archive,
     callers,
     freshness,
     issuer,
@@ -86,13 +88,16 @@
         """Open the ports and start the tasks."""
         self._store = store.connect(
             store.Settings(
-                f"http://{self.settings.store.address}",
+                self.settings.store.address,
                 driver=self.settings.store.driver,
                 timeout_ms=self.settings.store.timeout_ms,
+                token=self.settings.store.token,
             )
         ).unwrap()
         self.ledger = ledger.Ledger(self._store, self.latest, self.clock)
         self.ledger.subscribe_reads(self.freshness.store_read)
+        self.archive = archive.open_archive(self.journal, self._store, self.clock)
+        self.archive.on_stored(self._on_stored)
         stream = self.settings.stream
         self._server = await link.serve(
             (stream.host, stream.port),
@@ -105,8 +110,9 @@
         await self._runner.setup()
         http = self.settings.http
         await web.TCPSite(self._runner, http.host, http.port).start()
-        for running in (self.ledger, self.freshness, self.acceptance, self.peers):
-            self._spawn(running.run())
+        parts = (self.ledger, self.freshness, self.acceptance, self.peers, self.archive)
+        for part in parts:
+            self._spawn(part.run())
         self._spawn(self._tick())
 
     async def stop(self):
@@ -116,6 +122,8 @@
             async with asyncio.timeout(grace):
                 while self._submitting:
                     await asyncio.sleep(clock.seconds(_STAGE_POLL_MS))
+        self.journal.close()
+        await self.archive.finish()
         await self.close()
 
     async def close(self):
@@ -137,6 +145,7 @@
           submission: A Submission.
           held: Its Ticket.
           wait_ms: An integer, how long the answer may take.
+
         Returns:
           A Result of an Answer, or of a Problem.
         """
@@ -152,6 +161,7 @@
         Args:
           change: A change of `configuration`.
           command: A Command.
+
         Returns:
           A Result of a pair of an Outcome and the Stage reached, or of a Problem.
         """
@@ -188,6 +198,9 @@
           opened: The Link.
           body: A Heartbeat.
         """
+        if isinstance(body, audit.Batch):
+            self._take_records(body)
+            return
         if not isinstance(body, member.Heartbeat):
             return
         if self.membership.note(opened, body):
@@ -205,6 +218,7 @@
         Args:
           opened: The Link.
           body: A message of `peers`.
+
         Returns:
           The answer's body, or a Problem.
         """
@@ -270,6 +284,17 @@
         for presence in self.membership.present():
             presence.link.send(self._configuration)
 
+    def _take_records(self, batch):
+        """Offer an agent's records; what is refused it sends again."""
+        unpacked = journal.unpack(batch.records)
+        if unpacked.is_ok():
+            self.archive.offer(unpacked.ok_value)
+
+    def _on_stored(self, process, incarnation, sequence):
+        presence = self.membership.find(incarnation)
+        if presence is not None:
+            presence.link.send(audit.Stored(incarnation, sequence))
+
     async def _await_in_force(self, revision):
         end_ms = self.clock.now_ms() + _IN_FORCE_PATIENCE_MS
         stage = self.acceptance.stage(revision)
@@ -287,6 +312,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_TICK_MS))
             self.membership.sweep()
+            self.journal.mark_when_quiet()
 
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -299,6 +325,7 @@
 
     Args:
       settings: The EntrySettings.
+
     Returns:
       An Entry; start it with `start`.
     """
--- a/packages/dispatch/src/jujubeglade/entry/intake.py
+++ b/packages/dispatch/src/jujubeglade/entry/intake.py
@@ -51,6 +51,7 @@
       fields: A value decoded from JSON.
       tenant: A string, the tenant whose token was used.
       limits: The limits of the settings.
+
     Returns:
       A Result of a pair of a Submission and the time to wait in ms, or of a
       tuple of Problems.
@@ -83,6 +84,7 @@
     Args:
       held: A string, the ticket.
       answer: An Answer.
+
     Returns:
       A string, a JSON text.
     """
@@ -97,6 +99,7 @@
 
     Args:
       problems: A sequence of Problems; the first one speaks for the request.
+
     Returns:
       A dict for JSON.
     """
--- a/packages/dispatch/src/jujubeglade/entry/issuer.py
+++ b/packages/dispatch/src/jujubeglade/entry/issuer.py
@@ -47,6 +47,7 @@
 
         Args:
           count: An integer, at least 1.
+
         Returns:
           A Result of a list of Tickets, or of a Problem of kind NO_WORKER.
         """
--- a/packages/dispatch/src/jujubeglade/entry/membership.py
+++ b/packages/dispatch/src/jujubeglade/entry/membership.py
@@ -58,6 +58,7 @@
         Args:
           opened: The Link it came by.
           heartbeat: A Heartbeat.
+
         Returns:
           A boolean, whether the agent has just joined.
         """
@@ -92,6 +93,7 @@
 
         Args:
           incarnation: A string.
+
         Returns:
           A Presence, or None.
         """
--- a/packages/dispatch/src/jujubeglade/entry/operators.py
+++ b/packages/dispatch/src/jujubeglade/entry/operators.py
@@ -41,7 +41,9 @@
         parsed = query.parse(fields["text"])
         if parsed.is_err():
             return callers.refuse(parsed.err_value)
-        outcome = await self._run(operator, fields["id"], fields["text"], parsed.ok_value)
+        outcome = await self._run(
+            operator, fields["id"], fields["text"], parsed.ok_value
+        )
         if outcome.is_err():
             return callers.refuse(outcome.err_value)
         return web.json_response(outcome.ok_value)
--- a/packages/dispatch/src/jujubeglade/entry/peers.py
+++ b/packages/dispatch/src/jujubeglade/entry/peers.py
@@ -55,7 +55,14 @@
 class Peers:
     """The other entries, as one entry reaches them."""
 
-    __slots__ = ("_addresses", "_cluster_key", "_identity", "_latest", "_links", "_voter")
+    __slots__ = (
+        "_addresses",
+        "_cluster_key",
+        "_identity",
+        "_latest",
+        "_links",
+        "_voter",
+    )
 
     def __init__(self, identity, cluster_key, addresses, voter, latest):
         """Start without links.
@@ -86,6 +93,7 @@
         Args:
           name: A string, the name of the entry.
           asked: A vote.Question or a vote.Offer.
+
         Returns:
           A Result of a vote.Vote or a vote.Acknowledgement.
         """
@@ -106,6 +114,7 @@
 
         Args:
           name: A string, the name of the entry.
+
         Returns:
           A Result of a Document.
         """
@@ -119,14 +128,13 @@
 
         Args:
           body: A Question, an Offer or a Fetch.
+
         Returns:
           The answer's body, or a Problem.
         """
         if isinstance(body, Fetch):
             document = self._latest.document
-            return member.Configuration(
-                document.revision, configuration.dump(document)
-            )
+            return member.Configuration(document.revision, configuration.dump(document))
         if isinstance(body, Question):
             cast = self._voter.answer(vote.Question(body.asker, body.revision))
             return Vote(cast.voter, cast.revision, cast.counts)
--- a/packages/dispatch/src/jujubeglade/entry/router.py
+++ b/packages/dispatch/src/jujubeglade/entry/router.py
@@ -37,6 +37,7 @@
           submission: A Submission.
           held: Its Ticket.
           wait_ms: An integer, how long the answer may take.
+
         Returns:
           A Result of an Answer, or of a Problem.
         """
@@ -56,6 +57,7 @@
         Args:
           held: A Ticket.
           wait_ms: An integer, how long the answer may take.
+
         Returns:
           A Result of an Answer, or of a Problem.
         """
@@ -71,6 +73,7 @@
         Args:
           held: A Ticket.
           reason: A string, who asked.
+
         Returns:
           A Result of an Answer, or of a Problem.
         """
--- a/packages/dispatch/src/jujubeglade/entry/tokens.py
+++ b/packages/dispatch/src/jujubeglade/entry/tokens.py
@@ -23,6 +23,7 @@
 
         Args:
           request: An aiohttp.web.Request.
+
         Returns:
           A string, the name, or None.
         """
