--- /dev/null
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -0,0 +1,380 @@
+"""A cluster of real processes on loopback, for tests of failures and for the bench.
+
+    async with cluster.start(cluster.Shape(zones=("a", "b", "c"), workers=11)) as held:
+        held.kill("worker-01")
+        await held.start_process("worker-01")
+        held.started()     # what the upstreams saw, the judge of all claims
+
+Each process has its settings file in a temporary folder. Upstreams share one process
+and write their logs there. The cluster ends the processes it started, by their ids.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+
+import aiohttp
+
+from jujubeglade.core import clock
+from jujubeglade.fakes import upstream
+
+CALLER_TOKENS = {
+    "alpha": "caller-token-of-alpha",
+    "beta": "caller-token-of-beta",
+    "gamma": "caller-token-of-gamma",
+}
+OPERATOR_TOKENS = {
+    "duty": "operator-token-of-duty",
+    "night": "operator-token-of-night",
+}
+CLUSTER_KEY = "cluster-key-of-the-bench"
+_HOST = "127.0.0.1"
+_READY_MS = 20_000
+_POLL_MS = 50
+_STOP_MS = 10_000
+_RACK_SIZE = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """What a cluster is made of.
+
+    Attributes:
+      zones: A tuple of strings, the availability zones; workers take turns.
+      workers: An integer.
+      entries: An integer.
+      slots: An integer, of each upstream.
+      connections: An integer, of each upstream.
+      service: A string, the service of all upstreams.
+      limits: A mapping, the limits of every settings file.
+    """
+
+    zones: tuple[str, ...] = ("a", "b", "c")
+    workers: int = 5
+    entries: int = 3
+    slots: int = 8
+    connections: int = 64
+    service: str = "parts"
+    limits: dict = dataclasses.field(default_factory=dict)
+
+
+#: The deployments of the two users.
+ASSOCIATION = Shape(zones=("a", "b", "c"), workers=11)
+ARMOR_NEIGE = Shape(zones=("a", "b", "c", "d"), workers=11)
+
+
+class Cluster:
+    """The processes of one cluster."""
+
+    def __init__(self, shape, folder):
+        """Lay out settings; `launch` starts the processes.
+
+        Args:
+          shape: A Shape.
+          folder: A pathlib.Path for settings and logs.
+        """
+        self.shape = shape
+        self.folder = folder
+        self.processes = {}
+        self._ports = _free_ports(4 + 2 * shape.entries + 4 * shape.workers)
+        self._store_port = self._ports.pop()
+        self._store_control_port = self._ports.pop()
+        self._commands = {}
+        self.entry_names = [f"entry-{n + 1}" for n in range(shape.entries)]
+        self.worker_names = [f"worker-{n + 1:02}" for n in range(shape.workers)]
+        self._stream_ports = {name: self._ports.pop() for name in self.entry_names}
+        self.http_ports = {name: self._ports.pop() for name in self.entry_names}
+        self.upstream_ports = {}
+        self._lay_out()
+
+    @property
+    def store_control(self):
+        """Return the URL that sets the store's faults."""
+        return f"http://{_HOST}:{self._store_control_port}/control"
+
+    def entry_url(self, name):
+        """Return the base URL of an entry.
+
+        Args:
+          name: A string.
+        """
+        return f"http://{_HOST}:{self.http_ports[name]}"
+
+    def zone_of(self, worker):
+        """Return the zone of a worker.
+
+        Args:
+          worker: A string, its name.
+        """
+        zones = self.shape.zones
+        return zones[self.worker_names.index(worker) % len(zones)]
+
+    async def launch(self):
+        """Start everything and wait until every entry hears every worker."""
+        await self.start_process("store")
+        for name in self.entry_names:
+            await self.start_process(name)
+        for name in self.worker_names:
+            await self.start_process(name)
+        await self.start_process("upstreams")
+        await self.wait_ready(self.shape.workers)
+
+    async def start_process(self, name):
+        """Start a process that is not running.
+
+        Args:
+          name: A string: `store`, `upstreams`, or the name of an entry or worker.
+        """
+        log = (self.folder / f"{name}.log").open("ab")
+        with log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *self._commands[name],
+                stdout=log,
+                stderr=log,
+            )
+        self.processes[name] = process
+
+    def kill(self, name):
+        """End a process without warning.
+
+        Args:
+          name: A string.
+        """
+        self.processes[name].kill()
+
+    def freeze(self, name):
+        """Stop a process in the middle of whatever it does.
+
+        Args:
+          name: A string.
+        """
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def wake(self, name):
+        """Let a frozen process go on.
+
+        Args:
+          name: A string.
+        """
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    async def terminate(self, name):
+        """Ask a process to leave gracefully and wait for its end.
+
+        Args:
+          name: A string.
+
+        Returns:
+          An integer, its exit status.
+        """
+        self.processes[name].terminate()
+        return await self.processes[name].wait()
+
+    async def wait_ready(self, workers):
+        """Wait until every running entry may grant permits and hears workers.
+
+        Args:
+          workers: An integer, how many agents each entry must hear at least.
+
+        Raises:
+          TimeoutError: The cluster did not become ready.
+        """
+        async with asyncio.timeout(clock.seconds(_READY_MS)):
+            async with aiohttp.ClientSession() as session:
+                for name in self.entry_names:
+                    await self._wait_entry(session, name, workers)
+
+    async def set_store(self, **faults):
+        """Set the faults of the stand-in store.
+
+        Args:
+          **faults: The control fields of `jujubeglade.fakes.store`.
+        """
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(self.store_control, json=faults) as reply,
+        ):
+            reply.raise_for_status()
+
+    async def set_upstream(self, worker, **faults):
+        """Set the faults of the upstream beside a worker.
+
+        Args:
+          worker: A string, the worker's name.
+          **faults: The arguments of FakeUpstream.set_faults.
+        """
+        url = f"http://{_HOST}:{self.upstream_ports[worker]}/control"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json=faults) as reply,
+        ):
+            reply.raise_for_status()
+
+    def started(self):
+        """Read the starts that the upstreams wrote down.
+
+        Returns:
+          A list of upstream.Started, in the order of time.
+        """
+        found = []
+        for path in self.folder.glob("*.starts"):
+            for line in path.read_text(encoding="utf-8").splitlines():
+                found.append(upstream.Started(**json.loads(line)))
+        return sorted(found, key=lambda each: each.wall_ms)
+
+    async def stop(self):
+        """End every process that this cluster started."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                # A frozen process takes no other signal.
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                async with asyncio.timeout(clock.seconds(_STOP_MS)):
+                    await process.wait()
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+
+    async def _wait_entry(self, session, name, workers):
+        if self.processes[name].returncode is not None:
+            return
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with session.get(self.entry_url(name) + "/ready") as reply:
+                    body = await reply.json()
+                    if reply.status == 200 and body["workers"] >= workers:
+                        return
+            await asyncio.sleep(clock.seconds(_POLL_MS))
+
+    def _lay_out(self):
+        ports = (str(self._store_port), "--control-port", str(self._store_control_port))
+        self._commands["store"] = ("-m", "jujubeglade.fakes.store", "--port", *ports)
+        for name in self.entry_names:
+            self._write_settings(name, self._entry_settings(name))
+        berths = [self._lay_out_worker(name) for name in self.worker_names]
+        path = self.folder / "fleet.json"
+        path.write_text(json.dumps(berths), encoding="utf-8")
+        self._commands["upstreams"] = ("-m", "jujubeglade.fakes.fleet", str(path))
+
+    def _common(self, name, zone, stream_port):
+        entries = {
+            entry: f"{_HOST}:{port}" for entry, port in self._stream_ports.items()
+        }
+        return {
+            "name": name,
+            "zone": zone,
+            "rack": "rack-1",
+            "cluster_key": CLUSTER_KEY,
+            "log_level": "warning",
+            "stream": f"{_HOST}:{stream_port}",
+            "entries": entries,
+            "limits": dict(self.shape.limits),
+        }
+
+    def _entry_settings(self, name):
+        zone = self.shape.zones[self.entry_names.index(name) % len(self.shape.zones)]
+        return self._common(name, zone, self._stream_ports[name]) | {
+            "role": "entry",
+            "http": f"{_HOST}:{self.http_ports[name]}",
+            "store": {"address": f"http://{_HOST}:{self._store_port}"},
+            "caller_tokens": CALLER_TOKENS,
+            "operator_tokens": OPERATOR_TOKENS,
+        }
+
+    def _lay_out_worker(self, name):
+        zone = self.zone_of(name)
+        announce = self._ports.pop()
+        fields = self._common(name, zone, self._ports.pop())
+        rack = self.worker_names.index(name) // _RACK_SIZE
+        fields |= {
+            "role": "agent",
+            "rack": f"rack-{rack + 1}",
+            "http": f"{_HOST}:{self._ports.pop()}",
+            "announce": f"{_HOST}:{announce}",
+        }
+        self._write_settings(name, fields)
+        self.upstream_ports[name] = self._ports.pop()
+        return {
+            "name": name,
+            "zone": zone,
+            "service": self.shape.service,
+            "slots": self.shape.slots,
+            "connections": self.shape.connections,
+            "port": self.upstream_ports[name],
+            "agent": f"http://{_HOST}:{announce}",
+            "log": str(self.folder / f"{name}.starts"),
+        }
+
+    def _write_settings(self, name, fields):
+        path = self.folder / f"{name}.json5"
+        path.write_text(json.dumps(fields, indent=2), encoding="utf-8")
+        self._commands[name] = ("-m", "jujubeglade.daemon.main", str(path))
+
+
+@contextlib.asynccontextmanager
+async def start(shape):
+    """Start a cluster and end it when the block ends.
+
+    Args:
+      shape: A Shape.
+
+    Yields:
+      A Cluster that is ready.
+    """
+    with tempfile.TemporaryDirectory(prefix="jujubeglade-") as folder:
+        held = Cluster(shape, pathlib.Path(folder))
+        try:
+            await held.launch()
+            yield held
+        finally:
+            await held.stop()
+
+
+def resident_kib(process):
+    """Read how much memory a process holds.
+
+    Args:
+      process: An asyncio subprocess.
+
+    Returns:
+      An integer, KiB resident.
+    """
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+    line = next(row for row in status.splitlines() if row.startswith("VmRSS:"))
+    return int(line.split()[1])
+
+
+def processor_ms(process):
+    """Read how much processor time a process has used.
+
+    Args:
+      process: An asyncio subprocess.
+
+    Returns:
+      A float, ms of user and system time.
+    """
+    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text(encoding="ascii")
+    user, system = fields.rsplit(") ", 1)[1].split()[11:13]
+    ticks = os.sysconf("SC_CLK_TCK")
+    return (int(user) + int(system)) * clock.MILLISECONDS_PER_SECOND / ticks
+
+
+def _free_ports(count):
+    """Find ports that are free now; all are held until the last is found."""
+    held = [socket.socket() for _ in range(count)]
+    for each in held:
+        each.bind((_HOST, 0))
+    ports = [each.getsockname()[1] for each in held]
+    for each in held:
+        each.close()
+    return ports
--- a/packages/dispatch/src/jujubeglade/daemon/main.py
+++ b/packages/dispatch/src/jujubeglade/daemon/main.py
@@ -63,3 +63,7 @@
     await process.start()
     await stopping.wait()
     await process.stop()
+
+
+if __name__ == "__main__":
+    main()
