Answer truly for tasks that end while their job is being closed

Cause: a result that arrived between the close and the final answer struck the attempt off, and the answer then called the task not run, although its upstream had started it. The demo's cancelled job showed it. Ruled out: the permit (present), the order of Start and Close (right on the link). Also: a permit serves any revision at or above its own, and a task waits 500 ms for a permit before it is rejected, so a change of configuration rejects nothing. Conclusion: evidence of a start is noted before anything else.

--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -161,7 +161,8 @@
         return self.executor.close(opened, body)
 
     def on_permit(self):
-        """Go on after a permit was granted."""
+        """Start what waited for a permit."""
+        self.executor.pump()
 
     def on_configuration(self):
         """Go on under a new configuration."""
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -15,6 +15,7 @@
 _NEVER = contract.AttemptState.NEVER
 _QUEUED = contract.AttemptState.QUEUED
 _RUNNING = contract.AttemptState.RUNNING
+_PERMIT_PATIENCE_MS = 500
 _ACCEPTED = (_QUEUED, _RUNNING, _FINISHED)
 
 
@@ -322,7 +323,14 @@
             return contract.Reject.CLOSED
         if self.leaving:
             return contract.Reject.LEAVING
-        return self._permits.refusal()
+        refusal = self._permits.refusal()
+        if refusal == contract.Reject.NO_PERMIT and not self._is_permit_overdue():
+            # The next heartbeat brings a permit; the task waits for it.
+            return None
+        return refusal
+
+    def _is_permit_overdue(self):
+        return self._permits.missing_ms() > _PERMIT_PATIENCE_MS
 
     def _accept(self, link, known, entry, reason):
         name = (entry.index, entry.attempt)
@@ -367,7 +375,10 @@
                     continue
                 reason = self._late_refusal(known)
                 upstream = self._free_upstream(service)
-                if reason is None and upstream is None:
+                if reason == contract.Reject.NO_PERMIT:
+                    if not self._is_permit_overdue():
+                        break
+                elif reason is None and upstream is None:
                     break
                 queue.popleft()
                 self._queued -= 1
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -332,6 +332,8 @@
         Returns:
           A boolean, whether it was out.
         """
+        if not known.tasks:
+            return False
         holder = known.tasks[index].attempts.pop(attempt, None)
         if holder is None:
             return False
@@ -348,8 +350,16 @@
           body: Bytes, the result or the error.
           body_held: A boolean, false when the executor dropped the body.
         """
+        if known.answer is not None or known.moved_to is not None:
+            return
         task = known.tasks[index]
-        if known.is_over or task.answer is not None:
+        if task.answer is not None:
+            return
+        ran = verdict != contract.Verdict.UNKNOWN
+        outcome = job.TaskOutcome.RAN if ran else job.TaskOutcome.MAY_HAVE_RUN
+        # Also a job that is ending must know of every start, to answer truly.
+        task.evidence = outcome
+        if known.ending:
             return
         if verdict == _SUCCEEDED and body_held:
             task.answer = job.TaskAnswer(job.TaskOutcome.RAN, body, "")
@@ -357,9 +367,6 @@
             if known.unfinished == 0:
                 self._complete(known)
             return
-        ran = verdict != contract.Verdict.UNKNOWN
-        outcome = job.TaskOutcome.RAN if ran else job.TaskOutcome.MAY_HAVE_RUN
-        task.evidence = outcome
         if task.task.repeatable and self._may_retry(task):
             if not task.attempts:
                 self.make_ready(known, (index,))
--- a/packages/dispatch/src/jujubeglade/agent/permit.py
+++ b/packages/dispatch/src/jujubeglade/agent/permit.py
@@ -1,9 +1,9 @@
 """The permit under which this agent starts tasks.
 
-Entries grant permits in answer to heartbeats. The agent keeps the latest end of
-those granted under the highest revision it has applied; a permit of a lower
-revision is worth nothing. The configuration itself says whether this agent's
-zone or worker is drained.
+Entries grant permits in answer to heartbeats. A permit says that until it ends no
+accepted change above its revision can be in force. It therefore serves an agent
+that has applied that revision or a higher one, and the latest end counts. The
+configuration itself says whether this agent's zone or worker is drained.
 """
 
 import json
@@ -55,7 +55,6 @@
         self._drained_zones = frozenset(document.get("drained_zones", ()))
         self._drained_workers = frozenset(document.get("drained_workers", ()))
         self.revision = configuration.revision
-        self._ends_ms = 0.0
         return True
 
     def grant(self, permit):
@@ -64,7 +63,7 @@
         Args:
           permit: A member.Permit.
         """
-        if permit.revision == self.revision:
+        if permit.revision <= self.revision:
             ends_ms = permit.sent_ms + permit.remaining_ms
             self._ends_ms = max(self._ends_ms, ends_ms)
 
@@ -72,6 +71,10 @@
         """Tell how long starts are permitted, in ms; 0 when they are not."""
         return max(0, int(self._ends_ms - self._clock.now_ms()))
 
+    def missing_ms(self):
+        """Tell for how long no start has been permitted, in ms; 0 when one is."""
+        return max(0, int(self._clock.now_ms() - self._ends_ms))
+
     def is_drained(self, zone, name):
         """Tell whether a zone or a worker is out of service.
 
