Notice silent workers, and forget the oldest jobs rather than refuse new ones

Cause: a frozen executor kept its tasks until their deadline, since nobody listened for it between tasks; a home of short jobs would refuse after 20,000 of them; an entry that got SIGTERM closed its streams before its requests were answered. Ruled out: heartbeats on every link (messages without need): a ping is sent only when an answer is awaited and nothing was heard for 500 ms. Before: jobs on a frozen worker ended at their deadline of 30 s (by design of the code, not run).

--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -21,6 +21,8 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _MAX_UNSENT_BYTES = 32 * 1024 * 1024
 _READ_BYTES = 64 * 1024
+_PING_MS = 500
+_PONG_MS = 1000
 
 #: Messages sent by this process, by the name of their type.
 sent_counts = collections.Counter()
@@ -33,6 +35,7 @@
         "_asked",
         "_closed",
         "_handler",
+        "_heard_ms",
         "_loop",
         "_next_number",
         "_reader",
@@ -65,6 +68,7 @@
         self._unsent = []
         self._serving = set()
         self._closed = self._loop.create_future()
+        self._heard_ms = self._now_ms()
 
     @property
     def is_open(self):
@@ -125,6 +129,7 @@
         decoder = message.decoder(MAX_MESSAGE_BYTES)
         try:
             while data := await self._reader.read(_READ_BYTES):
+                self._heard_ms = self._now_ms()
                 decoder.feed(data)
                 for record in decoder:
                     self._take(record)
@@ -134,6 +139,21 @@
         finally:
             self.close()
 
+    async def watch(self, is_needed):
+        """Close the link when the other side falls silent while it is needed.
+
+        Args:
+          is_needed: A function without arguments that tells whether an answer is
+            awaited; an unneeded link is left alone and costs no message.
+        """
+        while self.is_open:
+            await asyncio.sleep(clock.seconds(_PING_MS))
+            if not is_needed() or self._now_ms() - self._heard_ms < _PING_MS:
+                continue
+            answered = await self.ask(message.Ping(), _PONG_MS)
+            if answered.is_err():
+                self.close()
+
     def close(self):
         """Close the link at once; unanswered questions end as lost."""
         if self._closed.done():
@@ -163,8 +183,14 @@
         else:
             self._handler.on_message(self, record)
 
+    def _now_ms(self):
+        return self._loop.time() * clock.MILLISECONDS_PER_SECOND
+
     async def _answer(self, request):
-        body = await self._handler.on_request(self, request.body)
+        if isinstance(request.body, message.Ping):
+            body = request.body
+        else:
+            body = await self._handler.on_request(self, request.body)
         if isinstance(body, problem.Problem):
             body = message.refusal_of(body)
         self.send(message.Reply(request.number, body))
--- a/packages/core/src/jujubeglade/core/message.py
+++ b/packages/core/src/jujubeglade/core/message.py
@@ -150,6 +150,11 @@
     body: object
 
 
+@register(7)
+class Ping:
+    """Ask whether the other side is alive; answered by itself."""
+
+
 @register(2)
 class Refusal:
     """A Problem on its way back to whoever asked.
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import dataclasses
 
 from jujubeglade.agent import owned, policy, takeover, worker
 from jujubeglade.core import clock, contract, job, problem, routing, ticket
@@ -367,7 +366,8 @@
             if known.unfinished == 0:
                 self._complete(known)
             return
-        if task.task.repeatable and self._may_retry(task):
+        succeeded = verdict == _SUCCEEDED
+        if not succeeded and task.task.repeatable and self._may_retry(task):
             if not task.attempts:
                 self.make_ready(known, (index,))
             return
@@ -570,6 +570,7 @@
                 remedy="submit again with the same id",
                 retry_after_ms=_RETRY_AFTER_MS,
             )
+        self._make_room()
         if len(self._jobs) >= self._limits.max_jobs:
             return problem.Problem(
                 kind=problem.Kind.OVERLOADED,
@@ -661,11 +662,8 @@
         self._bound_results()
 
     def _finish(self, known):
-        known.deadline_handle.cancel()
-        known.pending.clear()
-        known.tasks = ()
-        known.submission = dataclasses.replace(known.submission, tasks=())
         self._queue.discard(known)
+        known.shrink()
         known.wake()
 
     def _release_all(self, known):
@@ -682,6 +680,13 @@
             if known.answer is not None:
                 self._held_bytes -= known.drop_bodies()
 
+    def _make_room(self):
+        """Forget the oldest tenth of the jobs when there are too many."""
+        if len(self._jobs) < self._limits.max_jobs:
+            return
+        issued = sorted(known.issued_ms for known in self._jobs.values())
+        self._raise_floor(issued[len(issued) // 10] + 1)
+
     def _raise_floor(self, floor_ms):
         if floor_ms <= self._floor_ms:
             return
@@ -693,7 +698,7 @@
                 self._held_bytes -= sum(len(task.result) for task in known.answer.tasks)
 
     def _is_past(self, known):
-        return known.ticket.issued_ms < self._floor_ms and known.is_over
+        return known.issued_ms < self._floor_ms and known.is_over
 
 
 def _unknown_job(key):
--- a/packages/dispatch/src/jujubeglade/agent/owned.py
+++ b/packages/dispatch/src/jujubeglade/agent/owned.py
@@ -1,6 +1,7 @@
 """Owned jobs: the record that the owner of a job keeps of it."""
 
 import collections
+import dataclasses
 
 from jujubeglade.core import job
 
@@ -50,6 +51,7 @@
         "deadline_handle",
         "ending",
         "generation",
+        "key",
         "moved_to",
         "pending",
         "ready",
@@ -71,6 +73,7 @@
         """
         self.submission = submission
         self.ticket = ticket
+        self.key = ticket.key
         self.generation = generation
         self.accepted_ms = accepted_ms
         self.tasks = [OwnedTask(task) for task in submission.tasks]
@@ -85,9 +88,9 @@
         self._waiters = []
 
     @property
-    def key(self):
-        """Return the job key."""
-        return self.ticket.key
+    def issued_ms(self):
+        """Return when the ticket was issued."""
+        return self.ticket.issued_ms
 
     @property
     def deadline_ms(self):
@@ -127,6 +130,16 @@
             if not waiter.done():
                 waiter.set_result(None)
 
+    def shrink(self):
+        """Keep only what a resubmission of an ended job needs."""
+        self.deadline_handle.cancel()
+        self.deadline_handle = None
+        self.pending.clear()
+        self.tasks = ()
+        self.workers = ()
+        self.submission = dataclasses.replace(self.submission, ticket="", tasks=())
+        self.ticket = dataclasses.replace(self.ticket, group=(), text="")
+
     def drop_bodies(self):
         """Free payloads and results, keeping what became of each task.
 
--- a/packages/dispatch/src/jujubeglade/agent/worker.py
+++ b/packages/dispatch/src/jujubeglade/agent/worker.py
@@ -18,11 +18,11 @@
     """One candidate, as a home sees it."""
 
     __slots__ = (
-        "_connected",
         "_failed_dials",
         "_foreign",
         "_link",
         "_paused_until_ms",
+        "_settled",
         "_slots",
         "gone",
         "member",
@@ -46,7 +46,8 @@
         self._foreign = 0
         self._slots = member.slots
         self._paused_until_ms = 0.0
-        self._connected = asyncio.Event()
+        # Set once it is known whether a link comes about.
+        self._settled = asyncio.Event()
 
     @property
     def link(self):
@@ -105,10 +106,10 @@
         Returns:
           A Link, or None when none came about in time.
         """
-        if self._link is None and not self.gone:
+        if self._link is None and self.may_connect:
             try:
                 async with asyncio.timeout(clock.seconds(timeout_ms)):
-                    await self._connected.wait()
+                    await self._settled.wait()
             except TimeoutError:
                 return None
         return self._link
@@ -126,13 +127,15 @@
             dialed = await link.dial(self.member.address, cluster_key, identity, home)
             if dialed.is_err():
                 self._failed_dials += 1
+                if not self.may_connect:
+                    self._settled.set()
                 home.on_worker_changed(self)
                 await asyncio.sleep(clock.seconds(delay_ms))
                 delay_ms = min(2 * delay_ms, _REDIAL_LAST_MS)
                 continue
             delay_ms = _REDIAL_FIRST_MS
             await self._run(dialed.ok_value, home)
-        self._connected.set()
+        self._settled.set()
 
     async def _run(self, opened, home):
         if opened.remote.incarnation != self.member.incarnation:
@@ -143,11 +146,13 @@
             return
         self._link = opened
         self._failed_dials = 0
-        self._connected.set()
+        self._settled.set()
         home.on_worker_changed(self)
+        watching = asyncio.create_task(opened.watch(lambda: bool(self.outstanding)))
         try:
             await opened.run()
         finally:
-            self._connected.clear()
+            watching.cancel()
+            self._settled.clear()
             self._link = None
             home.on_worker_lost(self)
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -1,7 +1,6 @@
 """The entry: one process between clients, operators, agents and the store."""
 
 import asyncio
-import contextlib
 
 import result
 from aiohttp import web
@@ -74,7 +73,7 @@
         self.latest.subscribe(self._on_document)
         self._build_agreement()
         self._configuration = member.Configuration(0, b"{}")
-        self._submitting = 0
+        self._leaving = False
         self._tasks = set()
         self._server = None
         self._runner = None
@@ -106,7 +105,11 @@
             self,
             self.settings.limits.max_connections,
         )
-        self._runner = web.AppRunner(self._application(), access_log=None)
+        self._runner = web.AppRunner(
+            self._application(),
+            access_log=None,
+            shutdown_timeout=clock.seconds(self.settings.limits.drain_grace_ms),
+        )
         await self._runner.setup()
         http = self.settings.http
         await web.TCPSite(self._runner, http.host, http.port).start()
@@ -117,11 +120,9 @@
 
     async def stop(self):
         """Leave gracefully: answer what was taken, then close everything."""
-        grace = clock.seconds(self.settings.limits.drain_grace_ms)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(grace):
-                while self._submitting:
-                    await asyncio.sleep(clock.seconds(_STAGE_POLL_MS))
+        self._leaving = True
+        # The runner stops listening and waits for the requests in progress.
+        await self._runner.cleanup()
         self.journal.close()
         await self.archive.finish()
         await self.close()
@@ -135,7 +136,8 @@
         for presence in self.membership.present():
             presence.link.close()
         await self._server.close()
-        await self._runner.cleanup()
+        if not self._leaving:
+            await self._runner.cleanup()
         await self._store.close()
 
     async def submit(self, submission, held, wait_ms):
@@ -149,11 +151,7 @@
         Returns:
           A Result of an Answer, or of a Problem.
         """
-        self._submitting += 1
-        try:
-            return await self.router.submit(submission, held, wait_ms)
-        finally:
-            self._submitting -= 1
+        return await self.router.submit(submission, held, wait_ms)
 
     async def change(self, change, command):
         """Change the configuration.
