Let operators choose rules in the configuration document

Cause: the language had 'set rule', the document had no place for it. The document gets 'rules', with the changes set_rule and clear_rule, checked against rules.RULES. The malformed documents of the feature got the new field, so that each still fails by the fault it names; 'survives' now holds the revision that the scenario reached instead of the literal 6.

Conclusion: features/configuration.feature passes.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -46,7 +46,7 @@
 
     Examples:
       | change     | fields                                         | remedy                         |
-      | drain      | {}                                             | use one of: clear_limit, clear_quota, drain_worker, drain_zone, restore_worker, restore_zone, set_limit, set_quota |
+      | drain      | {}                                             | use one of: clear_limit, clear_quota, clear_rule, drain_worker, drain_zone, restore_worker, restore_zone, set_limit, set_quota, set_rule |
       | drain_zone | {"zone":""}                                    | use up to 100 letters, digits and . _ : - |
       | drain_zone | {"area":"east"}                                | give exactly: zone             |
       | set_quota  | {"tenant":"t","starts_per_s":-1,"weight":1}    | give a number, 0 or more       |
@@ -61,6 +61,29 @@
       | data                                   |
       | {                                      |
       | {"revision":9}                         |
-      | {"revision":2,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"outcomes":[]} |
-      | {"revision":9,"drained_zones":[7],"drained_workers":[],"quotas":{},"limits":{},"outcomes":[]} |
-      | {"revision":true,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"outcomes":[]} |
+      | {"revision":2,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
+      | {"revision":9,"drained_zones":[7],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
+      | {"revision":true,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
+
+  Scenario: A rule is chosen among its choices, and a mistake names them
+    When these configuration commands are applied:
+      | id | by  | change     | fields                                      |
+      | c1 | ana | set_rule   | {"name":"placement","value":"round_robin"}  |
+      | c2 | ben | set_rule   | {"name":"hedging","value":"late"}           |
+      | c3 | ana | clear_rule | {"name":"hedging"}                          |
+    Then the configuration outcomes are:
+      | id | status  | revision | subject        |
+      | c1 | applied | 1        | rule placement |
+      | c2 | applied | 2        | rule hedging   |
+      | c3 | applied | 3        | rule hedging   |
+    And the configuration chooses the rules "placement=round_robin"
+    And the configuration survives being written and read
+
+  Scenario Outline: A rule that isn't there is refused
+    When "set_rule" {"name":"<name>","value":"<value>"} is built and applied
+    Then the configuration refuses: <remedy>
+
+    Examples:
+      | name      | value | remedy                                                |
+      | placement | best  | choose one of: least_loaded, round_robin              |
+      | luck      | on    | name one of: placement, hedging, admission, queueing  |
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -65,10 +65,19 @@
     assert context.document.drained_workers == set(workers.split())
 
 
+@then('the configuration chooses the rules "{rules}"')
+def step_rules(context, rules):
+    found = " ".join(
+        f"{name}={value}" for name, value in context.document.rules.items()
+    )
+    assert found == rules, found
+
+
 @then("the configuration survives being written and read")
 def step_survives(context):
     data = configuration.dump(context.document)
-    assert configuration.parse(data, 6).unwrap() == context.document
+    held_revision = context.document.revision
+    assert configuration.parse(data, held_revision).unwrap() == context.document
 
 
 @then('the configuration command answers "{expected}"')
--- a/packages/core/src/jujubeglade/core/_configuration_changes.py
+++ b/packages/core/src/jujubeglade/core/_configuration_changes.py
@@ -261,3 +261,47 @@
     def applied_to(self, document):
         """Apply this change; see `configuration.clear_limit`."""
         return fields.clear_limit(document, self.name)
+
+
+@change("set_rule")
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetRule:
+    """Choose a rule.
+
+    Attributes:
+      name: A string.
+      value: A string.
+    """
+
+    name: str
+    value: str
+
+    @property
+    def subject(self):
+        """What this change is about, a string."""
+        return f"rule {self.name}"
+
+    def applied_to(self, document):
+        """Apply this change; see `configuration.set_rule`."""
+        return fields.set_rule(document, self.name, self.value)
+
+
+@change("clear_rule")
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearRule:
+    """Go back to a rule's default.
+
+    Attributes:
+      name: A string.
+    """
+
+    name: str
+
+    @property
+    def subject(self):
+        """What this change is about, a string."""
+        return f"rule {self.name}"
+
+    def applied_to(self, document):
+        """Apply this change; see `configuration.clear_rule`."""
+        return fields.clear_rule(document, self.name)
--- a/packages/core/src/jujubeglade/core/_configuration_document.py
+++ b/packages/core/src/jujubeglade/core/_configuration_document.py
@@ -12,7 +12,7 @@
 
 import result
 
-from jujubeglade.core import problem
+from jujubeglade.core import problem, rules
 
 MAX_OUTCOMES = 500
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,99}")
@@ -81,6 +81,7 @@
       drained_workers: A frozenset of worker names.
       quotas: A read-only mapping from tenant to Quota.
       limits: A read-only mapping from the name of a limit to a number.
+      rules: A read-only mapping from the name of a rule to its choice.
       outcomes: A tuple of Outcome records, oldest first, `MAX_OUTCOMES` at most.
     """
 
@@ -89,6 +90,7 @@
     drained_workers: frozenset = frozenset()
     quotas: types.MappingProxyType = dataclasses.field(default_factory=_empty)
     limits: types.MappingProxyType = dataclasses.field(default_factory=_empty)
+    rules: types.MappingProxyType = dataclasses.field(default_factory=_empty)
     outcomes: tuple = ()
 
 
@@ -164,6 +166,30 @@
     return _without_item(document, "limits", name)
 
 
+def set_rule(document, name, value):
+    """Choose a rule.
+
+    Args:
+      document: A Document.
+      name: A string, one of `rules.RULES`.
+      value: A string, one of the rule's choices.
+
+    Returns:
+      A Result of a Document or of a Problem.
+    """
+    rule = rules.RULES.get(name)
+    if rule is None:
+        return _bad("rule", name, f"name one of: {', '.join(rules.RULES)}")
+    if value not in rule.choices:
+        return _bad(name, value, f"choose one of: {', '.join(rule.choices)}")
+    return _with_item(document, "rules", name, value)
+
+
+def clear_rule(document, name):
+    """Go back to a rule's default; see `drain_zone`."""
+    return _without_item(document, "rules", name)
+
+
 def check_name(name):
     """Check the name of a zone, worker, tenant or limit.
 
--- a/packages/core/src/jujubeglade/core/_configuration_json.py
+++ b/packages/core/src/jujubeglade/core/_configuration_json.py
@@ -33,6 +33,7 @@
         "drained_workers": sorted(document.drained_workers),
         "quotas": quotas,
         "limits": dict(document.limits),
+        "rules": dict(document.rules),
         "outcomes": [dataclasses.asdict(outcome) for outcome in document.outcomes],
     }
     return json.dumps(values, sort_keys=True, separators=(",", ":")).encode()
@@ -86,6 +87,7 @@
         drained_workers=_names(values["drained_workers"]),
         quotas=types.MappingProxyType(quotas),
         limits=types.MappingProxyType(dict(values["limits"])),
+        rules=types.MappingProxyType(dict(values["rules"])),
         outcomes=tuple(_outcome(outcome) for outcome in values["outcomes"]),
     )
     _check_items(document)
@@ -112,11 +114,13 @@
 
 
 def _check_items(document):
-    """Check quotas and limits by the rules that commands obey."""
+    """Check quotas, limits and rules as commands are checked."""
     for tenant, quota in document.quotas.items():
         _unwrap(fields.set_quota(document, tenant, quota))
     for name, value in document.limits.items():
         _unwrap(fields.set_limit(document, name, value))
+    for name, value in document.rules.items():
+        _unwrap(fields.set_rule(document, name, value))
 
 
 def _unwrap(checked):
