Serve every command of the operators' language

Cause: an entry served only commands that change the configuration. Commands are served from a registry filled by decorators: show, why, cancel, submit, change. Homes list their jobs, processes give records that the store may lack; status and cancel serve the job's own tenant only; refusals carry an id that is recorded; the entry bounds connections and requests, and shows its metrics.

Ruled out: a store write for each read-only command; a second submission under one command id (the ticket is fixed in the store by the id first).

--- a/features/steps/tools_steps.py
+++ b/features/steps/tools_steps.py
@@ -14,7 +14,7 @@
 from jujubeglade.tools import main
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
-UUID = re.compile(r"[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}")
+COMMAND_ID = re.compile(r"[0-9a-f]{11}-[0-9a-f]{10}")
 
 
 def closers(context):
@@ -66,7 +66,7 @@
 
 @then("the command line exits with {status:d} and prints")
 def step_exit(context, status):
-    found = UUID.sub("ID", context.ran.output).rstrip("\n")
+    found = COMMAND_ID.sub("ID", context.ran.output).rstrip("\n")
     assert found == context.text, (found, context.ran.exception)
     assert context.ran.exit_code == status, context.ran.exit_code
 
--- a/packages/core/src/jujubeglade/core/_journal_explain.py
+++ b/packages/core/src/jujubeglade/core/_journal_explain.py
@@ -41,7 +41,7 @@
 }
 
 
-def explain(records, subject, key=b""):
+def explain(records, subject, key=b"", index=None):
     """Tell what the records say of a subject.
 
     Args:
@@ -49,6 +49,7 @@
         chains of one incarnation in their order.
       subject: A string: a job, a task (JOB-INDEX.ATTEMPT), a zone, a command.
       key: Bytes, the cluster key.
+      index: An integer, the only task of a job to tell of; None for all.
 
     Returns:
       A list of lines. The last says `recorded` when nothing that could belong to
@@ -56,6 +57,8 @@
     """
     records = tuple(records)
     wanted, task = _parse_subject(records, subject)
+    if index is not None:
+        task = (index, None)
     story = _story(records, wanted, task)
     findings = _journal_verify.verify(records, key)
     lines = [_sentence(record, task) for record in story]
@@ -99,7 +102,13 @@
     """Say whether a job's record has to do with a task."""
     if task is None or record.kind not in _ATTEMPT_KINDS:
         return True
-    return task in _journal_tasks.unpack_attempts(record.detail.get("attempts", ""))
+    attempts = _journal_tasks.unpack_attempts(record.detail.get("attempts", ""))
+    return any(_is_of(attempt, task) for attempt in attempts)
+
+
+def _is_of(attempt, task):
+    """Say whether an attempt is the one wanted, or any of the task wanted."""
+    return attempt[0] == task[0] and task[1] in (None, attempt[1])
 
 
 def _doubts(story, findings):
@@ -198,7 +207,7 @@
     """Yield the attempts of a record, and when they were."""
     by_attempt = {}
     for index, attempt in _journal_tasks.unpack_attempts(detail["attempts"]):
-        if task is None or (index, attempt) == task:
+        if task is None or _is_of((index, attempt), task):
             by_attempt.setdefault(attempt, []).append(index)
     for attempt, indexes in by_attempt.items():
         yield f"{_tasks_text(indexes)} attempt {attempt}"
--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -40,6 +40,7 @@
     RETRIED = "tasks_retried"
     HEDGED = "tasks_hedged"
     MESSAGES = "stream_messages"
+    SENT = "stream_messages_sent"
 
 
 class Gauge(enum.StrEnum):
@@ -50,11 +51,14 @@
     PERMIT = "permit_left_ms"
     BACKLOG = "journal_backlog"
     LOST = "journal_records_lost"
+    WORKERS = "workers"
+    REVISION = "configuration_revision"
+    REQUESTS = "requests_in_progress"
 
 
 _PREFIX = "jujubeglade_"
 _COUNTERS = {
-    Counter.ACCEPTED: (("tenant",), "Jobs that this home took."),
+    Counter.ACCEPTED: (("tenant",), "Submissions taken, resubmissions among them."),
     Counter.REFUSED: (("kind",), "Requests refused, by kind of problem."),
     Counter.ANSWERED: (("state",), "Jobs answered, by state."),
     Counter.STARTED: ((), "Task attempts sent to the upstream."),
@@ -65,6 +69,7 @@
         ("type", "use"),
         "Stream messages received, by type, and whether they were needed or wasted.",
     ),
+    Counter.SENT: (("type",), "Stream messages sent, by type."),
 }
 _GAUGES = {
     Gauge.QUEUE: "Tasks that wait for a slot.",
@@ -72,6 +77,9 @@
     Gauge.PERMIT: "Milliseconds that the permit still lasts.",
     Gauge.BACKLOG: "Audit records that no entry has stored yet.",
     Gauge.LOST: "Audit records replaced by gaps since the start.",
+    Gauge.WORKERS: "Agents that this entry hears from.",
+    Gauge.REVISION: "Highest configuration revision applied here.",
+    Gauge.REQUESTS: "Requests of clients and operators in progress.",
 }
 
 
@@ -118,6 +126,17 @@
             values = self._bound(_COUNTERS[counter][0], values)
         counts[values] = counts.get(values, 0) + amount
 
+    def set_count(self, counter, total, *values):
+        """Take over a total that is counted elsewhere.
+
+        Args:
+          counter: A Counter.
+          total: An integer, which never falls.
+          *values: Strings, one for each label of the counter.
+        """
+        values = self._bound(_COUNTERS[counter][0], values)
+        self._counts[counter][values] = total
+
     def count_message(self, message_type, needed):
         """Count a stream message.
 
--- a/packages/core/src/jujubeglade/core/routing.py
+++ b/packages/core/src/jujubeglade/core/routing.py
@@ -27,10 +27,12 @@
 
     Attributes:
       key: A string, the job key.
+      tenant: A string, the only tenant whose job is shown; empty for any.
       wait_ms: An integer, as in Submit.
     """
 
     key: str
+    tenant: str
     wait_ms: int
 
 
@@ -40,10 +42,12 @@
 
     Attributes:
       key: A string, the job key.
+      tenant: A string, the only tenant whose job is cancelled; empty for any.
       reason: A string, who asked and why.
     """
 
     key: str
+    tenant: str
     reason: str
 
 
@@ -82,3 +86,50 @@
     """
 
     value: int
+
+
+@message.register(56)
+class ListJobs:
+    """Ask an agent for the jobs that it owns; answered by JobRows.
+
+    Attributes:
+      tenant: A string, the only tenant whose jobs are listed; empty for any.
+      state: A string, the only job.State that is listed; empty for any.
+      limit: An integer, how many rows at most, the newest jobs first.
+    """
+
+    tenant: str
+    state: str
+    limit: int
+
+
+@message.register(57)
+class JobRow:
+    """One job in a list.
+
+    Attributes:
+      key: A string, the job key.
+      tenant: A string.
+      state: A string, a job.State.
+      tasks: An integer, how many tasks it has.
+      done: An integer, how many of them have ended.
+    """
+
+    key: str
+    tenant: str
+    state: str
+    tasks: int
+    done: int
+
+
+@message.register(58)
+class JobRows:
+    """The jobs of one agent.
+
+    Attributes:
+      rows: A tuple of JobRows, the newest first.
+      total: An integer, how many jobs there are with those left out.
+    """
+
+    rows: tuple[JobRow, ...]
+    total: int
--- a/packages/core/src/jujubeglade/core/settings.py
+++ b/packages/core/src/jujubeglade/core/settings.py
@@ -130,6 +130,21 @@
     return rule.low, rule.high
 
 
+def limits_in_force(own, chosen):
+    """Put the limits that operators set over those of the settings.
+
+    Args:
+      own: The Limits of the settings.
+      chosen: A mapping from names of limits to numbers; what isn't a live limit is
+        passed over, as another release may know more of them.
+
+    Returns:
+      A Limits.
+    """
+    live = {name: int(chosen[name]) for name in live_limits() if name in chosen}
+    return dataclasses.replace(own, **live)
+
+
 def _without_roles(mapping):
     """Leave out the settings of one role only, when the role isn't known."""
     if not isinstance(mapping, dict):
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -6,7 +6,16 @@
 from aiohttp import web
 
 from jujubeglade.agent import announce, courier, executor, home, permit, uplink
-from jujubeglade.core import clock, contract, journal, link, member, problem, ticket
+from jujubeglade.core import (
+    audit,
+    clock,
+    contract,
+    journal,
+    link,
+    member,
+    problem,
+    ticket,
+)
 
 _TICK_MS = 1000
 _LAST_RECORDS_MS = 100
@@ -160,6 +169,18 @@
             return self.executor.claim(opened, body)
         return self.executor.close(opened, body)
 
+    async def find_records(self, asked):
+        """Give an entry the records that may not be stored yet.
+
+        Args:
+          asked: An audit.Ask.
+
+        Returns:
+          An audit.Batch.
+        """
+        self.executor.flush_records()
+        return audit.answer(asked, self.journal)
+
     def on_permit(self):
         """Start what waited for a permit."""
         self.executor.pump()
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 
-from jujubeglade.agent import owned, policy, takeover, worker
+from jujubeglade.agent import listing, owned, policy, takeover, worker
 from jujubeglade.core import clock, contract, job, problem, routing, ticket
 from jujubeglade.core import journal as audit
 
@@ -128,6 +128,8 @@
                 )
                 return refused
             known = self._accept(held, submit)
+        elif known.submission.tenant != submit.submission.tenant:
+            return _unknown_job(held.key)
         return await self._wait(known, submit.wait_ms)
 
     async def query(self, query):
@@ -139,7 +141,7 @@
         Returns:
           An Answer, a Moved, or a Problem of kind UNKNOWN_JOB.
         """
-        known = self._jobs.get(query.key)
+        known = self._find(query)
         if known is None:
             return _unknown_job(query.key)
         return await self._wait(known, query.wait_ms)
@@ -153,7 +155,7 @@
         Returns:
           The job's Answer, a Moved, or a Problem of kind UNKNOWN_JOB.
         """
-        known = self._jobs.get(cancel.key)
+        known = self._find(cancel)
         if known is None:
             return _unknown_job(cancel.key)
         self._journal.record(audit.Kind.CANCELLED, known.key, reason=cancel.reason)
@@ -174,10 +176,23 @@
             for known in self._jobs.values()
             if known.submission.tenant == cancel.tenant and not known.is_over
         ]
-        orders = [routing.Cancel(known.key, cancel.reason) for known in running]
+        orders = [
+            routing.Cancel(known.key, cancel.tenant, cancel.reason) for known in running
+        ]
         await asyncio.gather(*(self.cancel(order) for order in orders))
         return routing.Count(len(running))
 
+    async def list_jobs(self, asked):
+        """List the jobs owned here.
+
+        Args:
+          asked: A ListJobs.
+
+        Returns:
+          A JobRows.
+        """
+        return listing.list_jobs(self._jobs.values(), asked)
+
     def on_message(self, link, body):
         """Take a message of an executor.
 
@@ -534,6 +549,13 @@
         elif task.answer is None and not task.attempts:
             self.make_ready(known, (rejected.index,))
 
+    def _find(self, asked):
+        """Find a job for its tenant, or for an operator; None hides it."""
+        known = self._jobs.get(asked.key)
+        if known is None or asked.tenant in ("", known.submission.tenant):
+            return known
+        return None
+
     def _note(self, link, ended):
         """Strike an ended attempt; return its job when it was out."""
         known = self._jobs.get(ended.key)
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/entry/_command_jobs.py
@@ -0,0 +1,38 @@
+"""The command `show jobs`, answered by the homes of the jobs."""
+
+import heapq
+
+import result
+
+from jujubeglade.core import routing, table
+from jujubeglade.entry import _command_fleet as fleet
+from jujubeglade.entry import _command_registry as registry
+from jujubeglade.query import commands
+
+_MAX_ROWS = 100
+_HEAD = ("job", "tenant", "state", "tasks", "done")
+
+
+@registry.serves(commands.ShowJobs)
+async def show_jobs(entry, order):
+    """List the newest jobs of all homes."""
+    wanted = order.command
+    asked = routing.ListJobs(wanted.tenant, wanted.state, _MAX_ROWS)
+    answers = await fleet.ask(entry.membership, asked)
+    rows = [row for body in answers.bodies for row in body.rows]
+    total = sum(body.total for body in answers.bodies)
+    newest = heapq.nlargest(_MAX_ROWS, rows, key=_issued)
+    cells = [(row.key, row.tenant, row.state, row.tasks, row.done) for row in newest]
+    lines = table.render(_HEAD, cells)
+    if total > len(newest):
+        lines.append(f"{total - len(newest)} older jobs are not shown")
+    lines.extend(
+        f"no answer from {name}: its jobs are missing" for name in answers.silent
+    )
+    status = registry.UNKNOWN if answers.silent else registry.DONE
+    return result.Ok(registry.Reply(tuple(lines), status, entry.latest.revision))
+
+
+def _issued(row):
+    """Read the time out of a job key; keys of one millisecond keep any order."""
+    return int(row.key.partition("-")[0], 16)
--- a/packages/dispatch/src/jujubeglade/entry/archive.py
+++ b/packages/dispatch/src/jujubeglade/entry/archive.py
@@ -38,6 +38,8 @@
 _MAX_WAITING_BYTES = 4_000_000
 _OWN_BATCH_RECORDS = 1000
 _OWN_BATCH_BYTES = 256_000
+# A job whose end was never recorded is looked for as long as it could be resubmitted.
+_LONGEST_STORY_MS = 2 * 3_600_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,7 +161,7 @@
         Returns:
           A Result of Found, or of a Problem.
         """
-        until_ms = self._clock.wall_ms()
+        until_ms = min(self._clock.wall_ms(), issued_ms + _LONGEST_STORY_MS)
         return await _archive_reader.find(self._store, subject, issued_ms, until_ms)
 
     async def read_all(self, limit=0):
--- a/packages/dispatch/src/jujubeglade/entry/callers.py
+++ b/packages/dispatch/src/jujubeglade/entry/callers.py
@@ -1,29 +1,16 @@
 """The HTTP interface of the clients; docs/DESIGN.md, "Interfaces"."""
 
+import dataclasses
 import json
 
+import result
 from aiohttp import web
 
-from jujubeglade.core import problem, ticket
-from jujubeglade.entry import intake, tokens
-
-_STATUS = {
-    problem.Kind.BAD_REQUEST: 400,
-    problem.Kind.BAD_TICKET: 400,
-    problem.Kind.NEVER_RUNNABLE: 422,
-    problem.Kind.UNAUTHORIZED: 401,
-    problem.Kind.TOO_LARGE: 413,
-    problem.Kind.WINDOW_PASSED: 410,
-    problem.Kind.UNKNOWN_JOB: 404,
-    problem.Kind.OVERLOADED: 429,
-    problem.Kind.QUOTA: 429,
-    problem.Kind.DEADLINE: 429,
-    problem.Kind.CONFLICT: 409,
-    problem.Kind.SYNTAX: 400,
-}
-_STATUS_UNAVAILABLE = 503
+from jujubeglade.core import job, metrics, ticket
+from jujubeglade.entry import intake, refusals, tokens
+
 _STATUS_RUNNING = 202
-_MILLISECONDS_PER_SECOND = 1000
+_MAX_DIGITS = 9
 
 
 class Callers:
@@ -36,6 +23,7 @@
           entry: The Entry.
         """
         self._entry = entry
+        self._refusals = entry.refusals
         self._tokens = tokens.Tokens(entry.settings.caller_tokens)
 
     def add_routes(self, app):
@@ -53,70 +41,95 @@
         """Issue tickets."""
         tenant = self._tokens.name_of(request)
         if tenant is None:
-            return unauthorized()
+            return self._refusals.unauthorized()
         fields = await read_json(request)
         count = fields.get("count", 1) if isinstance(fields, dict) else 0
-        most = self._entry.settings.limits.tickets_per_request
+        most = self._entry.limits.tickets_per_request
         if type(count) is not int or not 1 <= count <= most:
-            return refuse(bad_request("count", f"give 1 to {most}"))
+            bad = refusals.bad_request("count", f"give 1 to {most}")
+            return self._refusals.refuse(bad, by=tenant)
         issued = self._entry.issuer.issue(count)
         if issued.is_err():
-            return refuse(issued.err_value)
+            return self._refusals.refuse(issued.err_value, by=tenant)
         texts = [each.text for each in issued.ok_value]
-        window_ms = self._entry.settings.limits.window_ms
+        window_ms = self._entry.limits.window_ms
         return web.json_response({"tickets": texts, "good_for_ms": window_ms})
 
     async def submit(self, request):
         """Take a job and answer it, or say that it runs."""
+        begun_ms = self._entry.clock.now_ms()
         tenant = self._tokens.name_of(request)
         if tenant is None:
-            return unauthorized()
+            return self._refusals.unauthorized()
         fields = await read_json(request)
-        limits = self._entry.settings.limits
-        parsed = intake.parse_submission(fields, tenant, limits)
+        parsed = intake.parse_submission(fields, tenant, self._entry.limits)
         if parsed.is_err():
-            return refuse(*parsed.err_value)
+            return self._refusals.refuse(*parsed.err_value, by=tenant)
         submission, wait_ms = parsed.ok_value
-        held = ticket.parse(self._entry.cluster_key, submission.ticket)
-        if held.is_err():
-            return refuse(held.err_value)
-        answered = await self._entry.submit(submission, held.ok_value, wait_ms)
-        return self._respond(held.ok_value, answered)
+        taken = self._ticket(submission)
+        if taken.is_err():
+            return self._refusals.refuse(taken.err_value, by=tenant)
+        held = taken.ok_value
+        submission = dataclasses.replace(submission, ticket=held.text)
+        answered = await self._entry.submit(submission, held, wait_ms)
+        if answered.is_ok():
+            self._count(submission, answered.ok_value, begun_ms)
+        return self._respond(held, answered, tenant)
 
     async def status(self, request):
         """Answer for a job."""
-        held = self._held(request)
-        if isinstance(held, web.Response):
-            return held
-        wait_text = request.query.get("wait_ms", "0")
-        most = self._entry.settings.limits.max_wait_ms
-        if not wait_text.isdigit() or int(wait_text) > most:
-            return refuse(bad_request("wait_ms", f"give 0 to {most}"))
-        answered = await self._entry.router.query(held, int(wait_text))
-        return self._respond(held, answered)
+        tenant = self._tokens.name_of(request)
+        if tenant is None:
+            return self._refusals.unauthorized()
+        held = ticket.parse(self._entry.cluster_key, request.match_info["id"])
+        if held.is_err():
+            return self._refusals.refuse(held.err_value, by=tenant)
+        wait_ms = _read_wait(request.query.get("wait_ms", "0"))
+        most = self._entry.limits.max_wait_ms
+        if wait_ms is None or wait_ms > most:
+            bad = refusals.bad_request("wait_ms", f"give 0 to {most}")
+            return self._refusals.refuse(bad, by=tenant)
+        answered = await self._entry.router.query(held.ok_value, tenant, wait_ms)
+        return self._respond(held.ok_value, answered, tenant)
 
     async def cancel(self, request):
         """Cancel a job."""
-        held = self._held(request)
-        if isinstance(held, web.Response):
-            return held
         tenant = self._tokens.name_of(request)
-        answered = await self._entry.router.cancel(held, f"by client of {tenant}")
-        return self._respond(held, answered)
-
-    def _held(self, request):
-        if self._tokens.name_of(request) is None:
-            return unauthorized()
+        if tenant is None:
+            return self._refusals.unauthorized()
         held = ticket.parse(self._entry.cluster_key, request.match_info["id"])
-        return refuse(held.err_value) if held.is_err() else held.ok_value
-
-    def _respond(self, held, answered):
+        if held.is_err():
+            return self._refusals.refuse(held.err_value, by=tenant)
+        reason = f"by client of {tenant}"
+        answered = await self._entry.router.cancel(held.ok_value, tenant, reason)
+        return self._respond(held.ok_value, answered, tenant)
+
+    def _ticket(self, submission):
+        """Read the ticket of a submission, or issue one for a client without."""
+        if submission.ticket:
+            return ticket.parse(self._entry.cluster_key, submission.ticket)
+        issued = self._entry.issuer.issue(1)
+        return result.Ok(issued.ok_value[0]) if issued.is_ok() else issued
+
+    def _count(self, submission, answer, begun_ms):
+        """Count a submission that was taken, and its answer when there is one."""
+        counts = self._entry.metrics
+        counts.count(metrics.Counter.ACCEPTED, submission.tenant)
+        if answer.state == job.State.RUNNING:
+            return
+        counts.count(metrics.Counter.ANSWERED, str(answer.state))
+        duration_ms = self._entry.clock.now_ms() - begun_ms
+        counts.observe_latency(submission.tenant, str(submission.urgency), duration_ms)
+
+    def _respond(self, held, answered, tenant):
         if answered.is_err():
-            return refuse(answered.err_value)
+            return self._refusals.refuse(
+                answered.err_value, by=tenant, job=held.key, id=held.text
+            )
         answer = answered.ok_value
         text = intake.render_answer(held.text, answer)
         status = 200 if answer.tasks else _STATUS_RUNNING
-        headers = retry_headers(answer.retry_after_ms)
+        headers = refusals.retry_headers(answer.retry_after_ms)
         return web.Response(
             text=text, status=status, headers=headers, content_type="application/json"
         )
@@ -131,70 +144,19 @@
     Returns:
       A value decoded from JSON, or None when it is none.
     """
+    body = await request.read()
     try:
-        return json.loads(await request.read())
+        return json.loads(body, parse_constant=_refuse_constant)
     except (ValueError, RecursionError):
         return None
 
 
-def refuse(*problems):
-    """Answer a request by problems.
-
-    Args:
-      *problems: Problems; the first one speaks for the request.
-
-    Returns:
-      An aiohttp.web.Response.
-    """
-    first = problems[0]
-    status = _STATUS.get(first.kind, _STATUS_UNAVAILABLE)
-    rendered = intake.render_problems(problems)
-    headers = retry_headers(first.retry_after_ms)
-    return web.json_response(rendered, status=status, headers=headers)
-
+def _refuse_constant(name):
+    """Refuse NaN and its like, which JSON does not have."""
+    raise ValueError(name)
 
-def unauthorized():
-    """Answer a request without a valid token.
 
-    Returns:
-      An aiohttp.web.Response.
-    """
-    return refuse(
-        problem.Problem(
-            kind=problem.Kind.UNAUTHORIZED,
-            message="the bearer token is not known",
-            remedy="send Authorization: Bearer TOKEN with a token of the settings",
-        )
-    )
-
-
-def bad_request(place, remedy):
-    """Make the problem of a bad field.
-
-    Args:
-      place: A string, the field.
-      remedy: A string.
-
-    Returns:
-      A Problem.
-    """
-    return problem.Problem(
-        kind=problem.Kind.BAD_REQUEST,
-        message=f"{place} is out of range or malformed",
-        remedy=remedy,
-        place=place,
-    )
-
-
-def retry_headers(retry_after_ms):
-    """Render when to come back; HTTP counts in whole seconds.
-
-    Args:
-      retry_after_ms: An integer; 0 means do not.
-
-    Returns:
-      A dict of headers.
-    """
-    if retry_after_ms <= 0:
-        return {}
-    return {"Retry-After": str(-(-retry_after_ms // _MILLISECONDS_PER_SECOND))}
+def _read_wait(text):
+    """Read a whole number; None when it is none."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+    return int(text) if is_number else None
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -12,8 +12,12 @@
     configuration,
     journal,
     link,
+    log,
     member,
+    metrics,
+    metrics_page,
     problem,
+    settings,
     store,
     ticket,
 )
@@ -22,12 +26,14 @@
     archive,
     callers,
     freshness,
+    http_server,
     issuer,
     latest,
     ledger,
     membership,
     operators,
     peers,
+    refusals,
     router,
     vote,
 )
@@ -36,29 +42,30 @@
 _IN_FORCE_PATIENCE_MS = 4000
 _STAGE_POLL_MS = 50
 
+_log = log.get(__name__)
+
 
 class Entry:
     """One entry process and its parts."""
 
-    def __init__(self, settings, wall):
+    def __init__(self, own, wall):
         """Build the parts; nothing runs yet.
 
         Args:
-          settings: The EntrySettings.
+          own: The EntrySettings.
           wall: A Clock.
         """
-        self.settings = settings
+        self.settings = own
+        self.limits = own.limits
         self.clock = wall
-        self.cluster_key = settings.cluster_key.encode("utf-8")
+        self.cluster_key = own.cluster_key.encode("utf-8")
         incarnation = ticket.new_incarnation()
-        self.identity = link.Identity(
-            "entry", settings.name, incarnation, settings.zone
-        )
+        self.identity = link.Identity("entry", own.name, incarnation, own.zone)
         self.journal = journal.open_journal(
-            settings.name,
+            own.name,
             incarnation,
             wall,
-            settings.limits.audit_records,
+            own.limits.audit_records,
             self.cluster_key,
         )
         self.membership = membership.Membership(wall, self.journal)
@@ -66,27 +73,37 @@
             wall,
             self.cluster_key,
             self.membership,
-            settings.limits.candidates + 1,
+            own.limits.candidates + 1,
             self._is_drained,
         )
-        self.router = router.Router(wall, self.membership, settings.limits)
+        self.router = router.Router(wall, self.membership, own.limits)
         self.latest = latest.Latest()
         self.latest.subscribe(self._on_document)
         self._build_agreement()
         self._configuration = member.Configuration(0, b"{}")
-        self._submitting = 0
+        self.metrics = metrics.open_metrics()
+        self.refusals = refusals.Refusals(wall, self.journal, self.metrics)
+        self._gate = http_server.Gate(self.refusals, lambda: self.limits.max_jobs)
+        self._was_fresh = False
         self._tasks = set()
         self._server = None
-        self._runner = None
+        self._http = None
+        self._metrics_runner = None
+        self.store = None
 
     @property
     def http_port(self):
         """Return the port of the HTTP interface, once started."""
-        return self._runner.addresses[0][1]
+        return self._http.port
+
+    @property
+    def metrics_port(self):
+        """Return the port of the metrics, once started with an address for them."""
+        return self._metrics_runner.addresses[0][1]
 
     async def start(self):
         """Open the ports and start the tasks."""
-        self._store = store.connect(
+        self.store = store.connect(
             store.Settings(
                 self.settings.store.address,
                 driver=self.settings.store.driver,
@@ -94,9 +111,9 @@
                 token=self.settings.store.token,
             )
         ).unwrap()
-        self.ledger = ledger.Ledger(self._store, self.latest, self.clock)
+        self.ledger = ledger.Ledger(self.store, self.latest, self.clock)
         self.ledger.subscribe_reads(self.freshness.store_read)
-        self.archive = archive.open_archive(self.journal, self._store, self.clock)
+        self.archive = archive.open_archive(self.journal, self.store, self.clock)
         self.archive.on_stored(self._on_stored)
         stream = self.settings.stream
         self._server = await link.serve(
@@ -106,10 +123,7 @@
             self,
             self.settings.limits.max_connections,
         )
-        self._runner = web.AppRunner(self._application(), access_log=None)
-        await self._runner.setup()
-        http = self.settings.http
-        await web.TCPSite(self._runner, http.host, http.port).start()
+        await self._open_http()
         parts = (self.ledger, self.freshness, self.acceptance, self.peers, self.archive)
         for part in parts:
             self._spawn(part.run())
@@ -117,10 +131,12 @@
 
     async def stop(self):
         """Leave gracefully: answer what was taken, then close everything."""
-        grace = clock.seconds(self.settings.limits.drain_grace_ms)
+        _log.info("leaving", requests=self._gate.in_progress)
+        self._gate.leaving = True
+        grace = clock.seconds(self.limits.drain_grace_ms)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace):
-                while self._submitting:
+                while self._gate.in_progress:
                     await asyncio.sleep(clock.seconds(_STAGE_POLL_MS))
         self.journal.close()
         await self.archive.finish()
@@ -135,8 +151,10 @@
         for presence in self.membership.present():
             presence.link.close()
         await self._server.close()
-        await self._runner.cleanup()
-        await self._store.close()
+        await self._http.close()
+        if self._metrics_runner is not None:
+            await self._metrics_runner.cleanup()
+        await self.store.close()
 
     async def submit(self, submission, held, wait_ms):
         """Hand a checked submission to its owner.
@@ -149,11 +167,7 @@
         Returns:
           A Result of an Answer, or of a Problem.
         """
-        self._submitting += 1
-        try:
-            return await self.router.submit(submission, held, wait_ms)
-        finally:
-            self._submitting -= 1
+        return await self.router.submit(submission, held, wait_ms)
 
     async def change(self, change, command):
         """Change the configuration.
@@ -169,14 +183,6 @@
         if submitted.is_err():
             return submitted
         outcome = submitted.ok_value
-        self.journal.record(
-            journal.Kind.COMMAND,
-            command.command_id,
-            text=command.text,
-            by=command.by,
-            status=str(outcome.status),
-            revision=outcome.revision,
-        )
         await self.acceptance.spread()
         stage = await self._await_in_force(outcome.revision)
         return result.Ok((outcome, stage))
@@ -222,6 +228,8 @@
         Returns:
           The answer's body, or a Problem.
         """
+        if isinstance(body, audit.Ask):
+            return audit.answer(body, self.journal)
         if opened.remote.role != "entry":
             return problem.Problem(
                 problem.Kind.FRAME, "only entries ask entries", "run the same version"
@@ -245,20 +253,44 @@
         )
 
     def _application(self):
-        limits = self.settings.limits
-        app = web.Application(client_max_size=limits.max_body_bytes)
+        app = web.Application(
+            client_max_size=self.limits.max_body_bytes,
+            middlewares=[self._gate.middleware()],
+        )
         callers.Callers(self).add_routes(app)
         operators.Operators(self).add_routes(app)
         app.router.add_get("/health", self._health)
         app.router.add_get("/ready", self._ready)
         return app
 
+    async def _open_http(self):
+        """Listen for clients and operators, and for readers of the metrics."""
+        http = self.settings.http
+        self._http = http_server.Server(
+            self._application(), lambda: self.limits.max_connections
+        )
+        await self._http.start(http.host, http.port)
+        if self.settings.metrics is not None:
+            page = metrics_page.application(self.metrics, self._measure)
+            self._metrics_runner = await metrics_page.serve(page, self.settings.metrics)
+
+    def _measure(self):
+        """Set the gauges."""
+        granted = self.freshness.permit(self.clock.now_ms())
+        self.metrics.set(metrics.Gauge.PERMIT, int(granted.remaining_ms))
+        self.metrics.set(metrics.Gauge.BACKLOG, self.archive.backlog)
+        self.metrics.set(metrics.Gauge.LOST, self.journal.lost)
+        self.metrics.set(metrics.Gauge.WORKERS, len(self.membership))
+        self.metrics.set(metrics.Gauge.REVISION, self.latest.revision)
+        self.metrics.set(metrics.Gauge.REQUESTS, self._gate.in_progress)
+
     async def _health(self, request):
         return web.json_response({"status": "ok"})
 
     async def _ready(self, request):
         granted = self.freshness.permit(self.clock.now_ms())
-        ready = bool(granted.remaining_ms and len(self.membership))
+        fresh = granted.remaining_ms and len(self.membership)
+        ready = bool(fresh and not self._gate.leaving)
         body = {
             "status": "ready" if ready else "not ready",
             "workers": len(self.membership),
@@ -273,6 +305,8 @@
         return each.zone in zones or each.name in workers
 
     def _on_document(self, document):
+        self.limits = settings.limits_in_force(self.settings.limits, document.limits)
+        _log.info("configuration applied", revision=document.revision)
         dumped = configuration.dump(configuration.without_outcomes(document))
         self._configuration = member.Configuration(document.revision, dumped)
         self.journal.record(
@@ -313,6 +347,19 @@
             await asyncio.sleep(clock.seconds(_TICK_MS))
             self.membership.sweep()
             self.journal.mark_when_quiet()
+            self._log_freshness()
+
+    def _log_freshness(self):
+        """Log once when permits can't be granted any more, and once when they can."""
+        granted = self.freshness.permit(self.clock.now_ms())
+        fresh = granted.remaining_ms > 0
+        if fresh == self._was_fresh:
+            return
+        self._was_fresh = fresh
+        if fresh:
+            _log.info("permits granted", revision=granted.revision)
+        else:
+            _log.error("no permit can be granted", revision=granted.revision)
 
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -320,13 +367,13 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def new_entry(settings):
+def new_entry(own):
     """Make an entry.
 
     Args:
-      settings: The EntrySettings.
+      own: The EntrySettings.
 
     Returns:
       An Entry; start it with `start`.
     """
-    return Entry(settings, clock.system_clock())
+    return Entry(own, clock.system_clock())
--- a/packages/dispatch/src/jujubeglade/entry/freshness.py
+++ b/packages/dispatch/src/jujubeglade/entry/freshness.py
@@ -15,16 +15,14 @@
 import asyncio
 import dataclasses
 
-import logbook
-
-from jujubeglade.core import clock
+from jujubeglade.core import clock, log
 from jujubeglade.entry import vote
 
 PERMIT_MS = 2000
 HEARTBEAT_MS = 500
 _STORE_LATE_MS = 1100
 
-_log = logbook.Logger(__name__)
+_log = log.get(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +117,7 @@
         begin_ms = self._clock.now_ms()
         votes = await self._votes()
         if len(votes) < self._voter.majority:
-            _log.warning("no majority: {} votes count", len(votes))
+            _log.debug("no majority", votes=len(votes))
             return False
         if not await self._catch_up(votes):
             return False
--- a/packages/dispatch/src/jujubeglade/entry/intake.py
+++ b/packages/dispatch/src/jujubeglade/entry/intake.py
@@ -1,4 +1,4 @@
-"""Intake: checks what clients submit and renders what they are answered.
+"""Intake: checks what clients submit and renders the answers of jobs.
 
 All faults of a submission are collected and shown at once, each with the field
 it concerns:
@@ -63,6 +63,9 @@
     _check_names(faults, "", fields, _JOB_FIELDS)
     if fields.get("tenant", tenant) != tenant:
         faults.add("tenant", "not the tenant of the token", f"give {tenant}")
+    held = fields.get("id", "")
+    if "id" in fields and not (held and isinstance(held, str)):
+        faults.add("id", "not a ticket", "give a ticket, or no id to be given one")
     urgency = fields.get("class", job.Urgency.NORMAL)
     if urgency not in tuple(job.Urgency):
         faults.add("class", "not a class", f"give one of {', '.join(job.Urgency)}")
@@ -73,7 +76,6 @@
     tasks = _parse_tasks(faults, fields.get("tasks"), limits)
     if faults.found:
         return result.Err(tuple(faults.found))
-    held = fields.get("id") or ""
     submission = job.Submission(held, tenant, urgency, deadline_ms, tasks)
     return result.Ok((submission, wait_ms))
 
@@ -94,29 +96,6 @@
     return f'{head[:-1]}, "retry_after_ms": {after}, "tasks": [{tasks}]}}'
 
 
-def render_problems(problems):
-    """Render problems as the client reads them.
-
-    Args:
-      problems: A sequence of Problems; the first one speaks for the request.
-
-    Returns:
-      A dict for JSON.
-    """
-    first = problems[0]
-    rendered = {
-        "kind": first.kind,
-        "message": first.message,
-        "remedy": first.remedy,
-        "place": first.place,
-        "outcome": first.outcome,
-        "retry_after_ms": first.retry_after_ms,
-    }
-    if len(problems) > 1:
-        rendered["others"] = [str(each) for each in problems[1:]]
-    return rendered
-
-
 def _render_task(task):
     """Put the result in as the JSON text it is, or as a string if it is none."""
     head = {"outcome": task.outcome}
@@ -160,13 +139,23 @@
     run_ms = task.get("run_ms", 0)
     if type(run_ms) is not int or not 0 <= run_ms <= _MAX_DEADLINE_MS:
         faults.add(f"{place}.run_ms", "not a run time", "give milliseconds")
-    payload = json.dumps(task.get("payload")).encode("utf-8")
-    if len(payload) > limits.max_payload_bytes:
+    payload = _encode(task.get("payload"))
+    if payload is None:
+        faults.add(f"{place}.payload", "not JSON", "give numbers in range, nest less")
+    elif len(payload) > limits.max_payload_bytes:
         most = limits.max_payload_bytes
         faults.add(f"{place}.payload", "too long", f"give at most {most} bytes")
     return job.Task(service, payload, repeatable, run_ms)
 
 
+def _encode(payload):
+    """Write a payload as JSON text; None when JSON can't hold it, such as 1e999."""
+    try:
+        return json.dumps(payload, allow_nan=False).encode("utf-8")
+    except (ValueError, RecursionError):
+        return None
+
+
 def _check_names(faults, prefix, fields, expected):
     for name in sorted(set(fields) - expected):
         known = ", ".join(sorted(expected))
@@ -174,4 +163,6 @@
 
 
 def _is_name(value):
-    return isinstance(value, str) and 0 < len(value) <= _MAX_NAME_CHARACTERS
+    if not isinstance(value, str) or not value.isprintable():
+        return False
+    return 0 < len(value) <= _MAX_NAME_CHARACTERS
--- a/packages/dispatch/src/jujubeglade/entry/ledger.py
+++ b/packages/dispatch/src/jujubeglade/entry/ledger.py
@@ -17,10 +17,9 @@
 import asyncio
 import dataclasses
 
-import logbook
 import result
 
-from jujubeglade.core import clock, configuration, problem, store
+from jujubeglade.core import clock, configuration, log, problem, store
 
 KEY = "jujubeglade/configuration"
 _POLL_MS = 1000
@@ -28,7 +27,7 @@
 _RETRY_MS = 25
 _WATCH_RETRY_MS = 500
 
-_log = logbook.Logger(__name__)
+_log = log.get(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,7 +50,15 @@
 class Ledger:
     """The store's configuration, seen by one entry."""
 
-    __slots__ = ("_clock", "_latest", "_lock", "_on_read", "_settings", "_store")
+    __slots__ = (
+        "_clock",
+        "_is_read",
+        "_latest",
+        "_lock",
+        "_on_read",
+        "_settings",
+        "_store",
+    )
 
     def __init__(self, a_store, latest, a_clock, settings=None):
         """Prepare a ledger; `run` keeps it up to date.
@@ -67,6 +74,8 @@
         self._clock = a_clock
         self._settings = settings or Settings()
         self._on_read = []
+        # Whether the last poll was answered; None before the first one.
+        self._is_read = None
         self._lock = asyncio.Lock()
 
     @property
@@ -149,11 +158,20 @@
         while True:
             begin_ms = self._clock.now_ms()
             answer = await self.refresh()
-            if answer.is_err():
-                _log.warning("configuration not read: {}", answer.err_value)
+            self._log_reading(answer)
             left_ms = begin_ms + self._settings.poll_ms - self._clock.now_ms()
             await asyncio.sleep(clock.seconds(max(0, left_ms)))
 
+    def _log_reading(self, answer):
+        """Log once when the store goes silent, and once when it is back."""
+        if answer.is_ok() == self._is_read:
+            return
+        self._is_read = answer.is_ok()
+        if answer.is_ok():
+            _log.info("store answers")
+        else:
+            _log.error("store does not answer", problem=str(answer.err_value))
+
     async def _watch(self):
         """Follow the key, and start again whenever the watch ends."""
         while True:
@@ -170,7 +188,7 @@
         if parsed.is_ok():
             self._latest.offer(parsed.ok_value)
         else:
-            _log.error("configuration not taken: {}", parsed.err_value)
+            _log.error("configuration not taken", problem=str(parsed.err_value))
 
 
 class _Submission:
--- a/packages/dispatch/src/jujubeglade/entry/membership.py
+++ b/packages/dispatch/src/jujubeglade/entry/membership.py
@@ -7,10 +7,12 @@
 import dataclasses
 
 from jujubeglade.core import journal as audit
-from jujubeglade.core import link, member
+from jujubeglade.core import link, log, member
 
 SILENT_MS = 1500
 
+_log = log.get(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Presence:
@@ -70,6 +72,12 @@
         now_ms = self._clock.now_ms()
         self._present[incarnation] = Presence(sighting, opened, now_ms)
         if joined:
+            _log.info(
+                "worker joined",
+                worker=heartbeat.member.name,
+                incarnation=incarnation,
+                zone=heartbeat.member.zone,
+            )
             self._journal.record(
                 audit.Kind.MEMBER_JOINED,
                 heartbeat.member.name,
@@ -123,6 +131,12 @@
 
     def _strike(self, incarnation):
         presence = self._present.pop(incarnation)
+        _log.warning(
+            "worker left",
+            worker=presence.member.name,
+            incarnation=incarnation,
+            leaving=presence.sighting.leaving,
+        )
         self._journal.record(
             audit.Kind.MEMBER_LEFT, presence.member.name, incarnation=incarnation
         )
--- a/packages/dispatch/src/jujubeglade/entry/peers.py
+++ b/packages/dispatch/src/jujubeglade/entry/peers.py
@@ -123,6 +123,22 @@
             return answered
         return configuration.parse(answered.ok_value.document)
 
+    async def ask_records(self, asked):
+        """Ask all other entries for records that may not be stored yet.
+
+        Args:
+          asked: An audit.Ask.
+
+        Returns:
+          A pair: a list of audit.Batches, and a list of the names of the entries
+          that did not answer.
+        """
+        names = [address.name for address in self._addresses]
+        answers = await asyncio.gather(*(self._ask(name, asked) for name in names))
+        batches = [answer.ok_value for answer in answers if answer.is_ok()]
+        pairs = zip(names, answers, strict=True)
+        return batches, [name for name, answer in pairs if answer.is_err()]
+
     def serve(self, body):
         """Answer another entry.
 
--- a/packages/dispatch/src/jujubeglade/entry/router.py
+++ b/packages/dispatch/src/jujubeglade/entry/router.py
@@ -51,11 +51,12 @@
 
         return await self._follow(held, message, wait_ms, resume=True)
 
-    async def query(self, held, wait_ms):
+    async def query(self, held, tenant, wait_ms):
         """Ask for a job's answer.
 
         Args:
           held: A Ticket.
+          tenant: A string, whose job it must be; empty for an operator.
           wait_ms: An integer, how long the answer may take.
 
         Returns:
@@ -63,15 +64,16 @@
         """
 
         def message(generation):
-            return routing.Query(held.key, wait_ms)
+            return routing.Query(held.key, tenant, wait_ms)
 
         return await self._follow(held, message, wait_ms, resume=False)
 
-    async def cancel(self, held, reason):
+    async def cancel(self, held, tenant, reason):
         """Cancel a job.
 
         Args:
           held: A Ticket.
+          tenant: A string, whose job it must be; empty for an operator.
           reason: A string, who asked.
 
         Returns:
@@ -79,7 +81,7 @@
         """
 
         def message(generation):
-            return routing.Cancel(held.key, reason)
+            return routing.Cancel(held.key, tenant, reason)
 
         return await self._follow(held, message, 0, resume=False)
 
--- a/packages/dispatch/src/jujubeglade/query/__init__.py
+++ b/packages/dispatch/src/jujubeglade/query/__init__.py
@@ -15,4 +15,5 @@
 
 change_of = _changes.change_of
 is_change = _changes.is_change
+is_reading = _changes.is_reading
 parse = _parser.parse
--- a/packages/dispatch/src/jujubeglade/query/_changes.py
+++ b/packages/dispatch/src/jujubeglade/query/_changes.py
@@ -17,6 +17,8 @@
 
 # The arguments of a change are the fields of its record but this one.
 _IF_REVISION = "if_revision"
+# How the records of commands that only ask are named.
+_READING = ("Show", "Why")
 
 _NAMES = {
     commands.DrainZone: "drain_zone",
@@ -41,6 +43,18 @@
     return type(command) in _NAMES
 
 
+def is_reading(command):
+    """Tell whether a command only asks, and changes nothing anywhere.
+
+    Args:
+      command: A record of `commands`.
+
+    Returns:
+      A boolean.
+    """
+    return type(command).__name__.startswith(_READING)
+
+
 def change_of(command):
     """Convert a command to a change.
 
--- a/packages/tools/src/jujubeglade/tools/operations.py
+++ b/packages/tools/src/jujubeglade/tools/operations.py
@@ -1,10 +1,13 @@
 """Commands of operators: run and shell."""
 
+import secrets
 import sys
-import uuid
+
+from jujubeglade.core import clock
 
 _PROMPT = "jujubeglade> "
 _ENDS = ("exit", "quit")
+_RANDOM_BYTES = 5
 
 
 async def run(operator, report, text, command_id=""):
@@ -20,11 +23,17 @@
     Returns:
       An Exit.
     """
-    command_id = command_id or str(uuid.uuid4())
+    command_id = command_id or _new_id()
     report.note(f"id {command_id}")
     return report.command(await operator.command(command_id, text))
 
 
+def _new_id():
+    """Make the id of a command; its beginning says when, which `why` needs."""
+    wall_ms = clock.system_clock().wall_ms()
+    return f"{wall_ms:x}-{secrets.token_hex(_RANDOM_BYTES)}"
+
+
 async def shell(operator, report, lines):
     """Send commands line by line.
 
--- a/packages/tools/src/jujubeglade/tools/report.py
+++ b/packages/tools/src/jujubeglade/tools/report.py
@@ -16,11 +16,10 @@
 import json
 import sys
 
-from jujubeglade.core import problem
-from jujubeglade.tools import table
+from jujubeglade.core import problem, table
 
 _LOST = ("lost", "refused", "failed")
-_RECORDED = "recorded"
+_UNKNOWN = ("recorded", "unknown")
 
 
 class Exit(enum.IntEnum):
@@ -98,7 +97,7 @@
             return self.refusal(answer.err())
         found = answer.ok()
         self._print(found, [*found.lines, f"{found.status} at {found.revision}"])
-        if found.status == _RECORDED:
+        if found.status in _UNKNOWN:
             return Exit.UNKNOWN
         return Exit.REFUSED if found.status in _LOST else Exit.DONE
 
