--- a/packages/core/src/jujubeglade/core/_configuration_json.py
+++ b/packages/core/src/jujubeglade/core/_configuration_json.py
@@ -24,9 +24,7 @@
     Returns:
       Bytes.
     """
-    quotas = {
-        tenant: dataclasses.asdict(quota) for tenant, quota in document.quotas.items()
-    }
+    quotas = {tenant: _values(quota) for tenant, quota in document.quotas.items()}
     values = {
         "revision": document.revision,
         "drained_zones": sorted(document.drained_zones),
@@ -34,7 +32,7 @@
         "quotas": quotas,
         "limits": dict(document.limits),
         "rules": dict(document.rules),
-        "outcomes": [dataclasses.asdict(outcome) for outcome in document.outcomes],
+        "outcomes": [_values(outcome) for outcome in document.outcomes],
     }
     return json.dumps(values, sort_keys=True, separators=(",", ":")).encode()
 
@@ -71,6 +69,11 @@
     return dataclasses.replace(document, outcomes=())
 
 
+def _values(record):
+    """List the fields of a flat record; `dataclasses.asdict` would copy each value."""
+    return {name: getattr(record, name) for name in record.__slots__}
+
+
 def _read(values):
     """Build a document from a decoded JSON object.
 
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -242,11 +242,13 @@
         ]
         names = [entry.name for entry in others]
         voter = vote.Voter(self.settings.name, names, self.latest)
-        self.peers = peers.Peers(
-            self.identity, self.cluster_key, others, voter, self.latest
-        )
+        self.peers = peers.Peers(self.identity, self.cluster_key, others, voter)
         self.freshness = freshness.Freshness(
-            voter, self.latest, self.clock, self.peers.ask, self.peers.fetch
+            voter,
+            self.latest,
+            self.clock,
+            self.peers.ask,
+            vote.fetcher(self.settings.name, self.peers.ask),
         )
         self.acceptance = acceptance.Acceptance(
             voter, self.latest, self.clock, self.peers.ask
--- a/packages/dispatch/src/jujubeglade/entry/freshness.py
+++ b/packages/dispatch/src/jujubeglade/entry/freshness.py
@@ -54,7 +54,7 @@
           ask: A coroutine function of a peer's name and a message, to a Result of
             the peer's answer.
           fetch: A coroutine function of a peer's name, to a Result of the highest
-            Document that the peer holds.
+            Document that the peer holds; see `vote.fetcher`.
         """
         self._voter = voter
         self._latest = latest
--- a/packages/dispatch/src/jujubeglade/entry/ledger.py
+++ b/packages/dispatch/src/jujubeglade/entry/ledger.py
@@ -37,7 +37,8 @@
     Attributes:
       key: A string, where the document lies.
       poll_ms: An integer, from the begin of one read to the next.
-      submit_ms: An integer, how long a command is tried.
+      submit_ms: An integer, how long attempts at a command begin; the last one ends
+        by the store's own timeouts.
       retry_ms: An integer, the pause between two attempts.
     """
 
@@ -56,6 +57,7 @@
         "_latest",
         "_lock",
         "_on_read",
+        "_parsed",
         "_settings",
         "_store",
     )
@@ -77,6 +79,8 @@
         # Whether the last poll was answered; None before the first one.
         self._is_read = None
         self._lock = asyncio.Lock()
+        # The bytes read last and their document: most reads bring the same again.
+        self._parsed = (b"", configuration.Document())
 
     @property
     def document(self):
@@ -110,7 +114,7 @@
         if answer.is_err():
             return answer
         entry = answer.ok_value
-        parsed = configuration.parse(entry.value, held_revision)
+        parsed = self._parse(entry.value, held_revision)
         if parsed.is_err():
             return parsed
         self._latest.offer(parsed.ok_value)
@@ -118,6 +122,16 @@
             callback(begin_ms)
         return result.Ok((parsed.ok_value, entry.mod_revision))
 
+    def _parse(self, value, held_revision):
+        """Read a document, or find that it is the one read last."""
+        last_value, last_document = self._parsed
+        if value == last_value and last_document.revision >= held_revision:
+            return result.Ok(last_document)
+        parsed = configuration.parse(value, held_revision)
+        if parsed.is_ok():
+            self._parsed = (value, parsed.ok_value)
+        return parsed
+
     async def submit(self, change, command):
         """Bring a command into the store; repeating it is safe.
 
@@ -132,9 +146,11 @@
           A Result of an Outcome or of a Problem: a `conflict` that names the winner,
           or a `store` problem whose outcome says whether the change may be recorded.
         """
+        end_ms = self._clock.now_ms() + self._settings.submit_ms
+        # The wait for earlier commands counts, so that an outage queues nobody up.
         async with self._lock:
             submission = _Submission(self, change, command)
-            return await submission.run(self._clock, self._settings)
+            return await submission.run(self._clock, end_ms, self._settings)
 
     async def swap(self, document, mod_revision):
         """Write a document if the store's is still at the revision given.
@@ -200,21 +216,21 @@
         self._ledger = ledger
         self._change = change
         self._command = command
-        self._trouble = None
+        self._trouble = store.not_applied("earlier commands took all the time")
         # The mod revision compared by a write whose answer was lost.
         self._unsettled = None
 
-    async def run(self, a_clock, settings):
+    async def run(self, a_clock, end_ms, settings):
         """Attempt until there is an answer or the time is over.
 
         Args:
           a_clock: A Clock.
+          end_ms: A number, after which no attempt begins.
           settings: A Settings record.
 
         Returns:
           A Result of an Outcome or of a Problem.
         """
-        end_ms = a_clock.now_ms() + settings.submit_ms
         while a_clock.now_ms() < end_ms:
             answer = await self._attempt()
             if answer is not None:
