Keep owners' words when jobs move, end early or are asked twice

Cause: read against docs/DESIGN.md, "At most once", an owner could say `not_run` of a task that had started: a successor that was cancelled or met its deadline before it had asked, or that missed a witness (all tasks but the first), or that missed the home (repeatable tasks); an old owner whose close was refused by a later generation that had closed the job itself. A cancel whose asker's link broke left the job ending for ever. A resubmission of fewer tasks to a successor raised an IndexError and hung. An upstream that left alone kept its queue until the deadline. A router gave the last owner's `request_not_run` after an earlier owner had gone silent. An executor's error text was returned as a result. Ruled out: doubled frames and adoption by a successor start nothing twice.

--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -61,6 +61,7 @@
         if known is None:
             return _error(404, "the lease is not known; nothing is sent to it")
         known.leaving = True
+        self._agent.executor.pump()
         self._agent.on_upstreams_changed()
         return web.json_response({"lease": known.lease, "running": known.running})
 
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -163,8 +163,8 @@
     @property
     def services(self):
         """Return the services of the live upstreams, sorted."""
-        live = self._live_upstreams()
-        return tuple(sorted({up.announcement.service for up in live}))
+        serving = self._serving_upstreams()
+        return tuple(sorted({up.announcement.service for up in serving}))
 
     def load(self):
         """Measure how busy this executor is.
@@ -172,7 +172,7 @@
         Returns:
           A Load.
         """
-        slots = sum(up.announcement.slots for up in self._live_upstreams())
+        slots = sum(up.announcement.slots for up in self._serving_upstreams())
         return contract.Load(self._queued, self._running, slots)
 
     def add_upstream(self, upstream):
@@ -296,9 +296,10 @@
         for upstream in self._upstreams.values():
             await upstream.close()
 
-    def _live_upstreams(self):
+    def _serving_upstreams(self):
         now_ms = self._clock.now_ms()
-        return [up for up in self._upstreams.values() if up.is_live(now_ms)]
+        live = [up for up in self._upstreams.values() if up.is_live(now_ms)]
+        return [up for up in live if not up.leaving]
 
     def _job(self, key, issued_ms):
         known = self._jobs.get(key)
@@ -373,7 +374,7 @@
                 if attempt.state != _QUEUED:
                     queue.popleft()
                     continue
-                reason = self._late_refusal(known)
+                reason = self._late_refusal(known, service)
                 upstream = self._free_upstream(service)
                 if reason == contract.Reject.NO_PERMIT:
                     if not self._is_permit_overdue():
@@ -387,16 +388,18 @@
                 else:
                     self._begin(known, attempt, upstream)
 
-    def _late_refusal(self, known):
+    def _late_refusal(self, known, service):
         reason = self._permits.refusal()
         if reason is None and self._clock.now_ms() >= known.deadline_ms:
             return contract.Reject.TOO_LATE
+        if reason is None and service not in self.services:
+            return contract.Reject.NO_UPSTREAM
         return reason
 
     def _free_upstream(self, service):
         free = [
             up
-            for up in self._live_upstreams()
+            for up in self._serving_upstreams()
             if up.announcement.service == service and up.has_free_slot
         ]
         return min(free, key=lambda up: up.running, default=None)
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -14,6 +14,8 @@
 
 CLAIM_PATIENCE_MS = 1500
 CLOSE_PATIENCE_MS = 250
+# A close waits once for a link and once for its answer.
+_CANCEL_PATIENCE_MS = 3 * CLOSE_PATIENCE_MS
 _PUMP_RETRY_MS = 20
 _AVOID_MS = 1000
 _MAX_REJECTS = 50
@@ -156,8 +158,9 @@
         if known is None:
             return _unknown_job(cancel.key)
         self._journal.record(audit.Kind.CANCELLED, known.key, reason=cancel.reason)
-        await self.fail(known, f"cancelled: {cancel.reason}", 0)
-        return await self._wait(known, CLOSE_PATIENCE_MS)
+        # The job ends also when the link of who asks breaks meanwhile.
+        self.spawn(self.fail(known, f"cancelled: {cancel.reason}", 0))
+        return await self._wait(known, _CANCEL_PATIENCE_MS)
 
     async def cancel_tenant(self, cancel):
         """Cancel all running jobs of a tenant.
@@ -592,7 +595,7 @@
             tasks=len(known.tasks),
             candidates=_sources(submit.members),
         )
-        by_incarnation = {member.incarnation: member for member in submit.members}
+        by_incarnation = self._members(held, submit.members)
         known.workers = tuple(
             self.worker_for(by_incarnation[name])
             for name in held.group
@@ -602,11 +605,28 @@
         delay = clock.seconds(submit.submission.deadline_ms)
         known.deadline_handle = loop.call_later(delay, self._on_deadline, known)
         if submit.generation > 0:
+            # Until the executors have been asked an earlier owner may have started
+            # any of the tasks.
+            for task in known.tasks:
+                task.evidence = job.TaskOutcome.MAY_HAVE_RUN
             self.spawn(takeover.take_over(self, known, by_incarnation))
         else:
             self.make_ready(known, range(len(known.tasks)))
         return known
 
+    def _members(self, held, told):
+        """Join the members that an entry names with those known here.
+
+        Returns:
+          A dict from the incarnations of the ticket's group to Members.
+        """
+        known = {
+            name: self._workers[name].member
+            for name in held.group
+            if name in self._workers
+        }
+        return known | {member.incarnation: member for member in told}
+
     def _on_deadline(self, known):
         if not known.is_over:
             reason = "the deadline passed"
--- a/packages/dispatch/src/jujubeglade/agent/takeover.py
+++ b/packages/dispatch/src/jujubeglade/agent/takeover.py
@@ -45,25 +45,50 @@
         for candidate, claimed in zip(asked, answers, strict=True)
         if claimed is not None
     }
-    everybody = answered.issuperset(known.ticket.candidates)
+    if _is_foreign(known, answers):
+        reason = "the id was taken for a submission of more tasks"
+        home.spawn(home.fail(known, reason, 0))
+        return
+    _clear_doubts(known, answered)
     closed = any(claimed is not None and claimed.closed for claimed in answers)
     evidence = _take_evidence(home, known, asked, answers)
     if known.is_over:
         return
-    _go_on(home, known, evidence, everybody, closed)
+    _go_on(home, known, evidence, closed)
+
+
+def _is_foreign(known, answers):
+    """Tell whether an executor knows tasks that the submission does not have."""
+    return any(
+        report.index >= len(known.tasks)
+        for claimed in answers
+        if claimed is not None
+        for report in claimed.attempts
+    )
+
 
+def _clear_doubts(known, answered):
+    """Clear each task of which every possible executor has told what it started.
 
-def _go_on(home, known, evidence, everybody, closed):
+    A home places only repeatable tasks on itself.
+    """
+    for task in known.tasks:
+        possible = known.ticket.group if task.task.repeatable else None
+        if answered.issuperset(possible or known.ticket.candidates):
+            task.evidence = None
+
+
+def _go_on(home, known, evidence, closed):
     """Place, fail or leave each task, by the evidence of all executors."""
     missing = [i for i in range(len(known.tasks)) if i not in evidence]
     if closed:
         home.spawn(home.fail(known, "an earlier owner had closed the job", 0))
         return
-    for index in () if everybody else missing:
-        known.tasks[index].evidence = job.TaskOutcome.MAY_HAVE_RUN
-        if not known.tasks[index].task.repeatable:
+    for index in missing:
+        task = known.tasks[index]
+        if task.evidence is not None and not task.task.repeatable:
             error = "an executor that may have started it does not answer"
-            home.fail_task(known, index, job.TaskOutcome.MAY_HAVE_RUN, error)
+            home.fail_task(known, index, task.evidence, error)
             return
     home.make_ready(known, missing)
 
@@ -109,17 +134,7 @@
       lost: The Worker.
       attempts: A tuple of pairs of index and attempt.
     """
-    # What may be repeated is placed again without waiting for the worker.
-    for index, attempt in attempts:
-        if known.tasks[index].task.repeatable:
-            _lose(home, known, index, attempt)
-        if known.is_over:
-            return
-    attempts = tuple(
-        (index, attempt)
-        for index, attempt in attempts
-        if not known.tasks[index].task.repeatable
-    )
+    attempts = _settle_repeatable(home, known, attempts)
     claim = _claim(known, lost, attempts)
     claimed = None
     if attempts and not lost.gone:
@@ -138,6 +153,19 @@
         _take_settled(home, known, lost, reports[name])
 
 
+def _settle_repeatable(home, known, attempts):
+    """Place again at once what may be repeated; return the other attempts."""
+    single = []
+    for index, attempt in attempts:
+        if known.is_over:
+            return ()
+        if known.tasks[index].task.repeatable:
+            _lose(home, known, index, attempt)
+        else:
+            single.append((index, attempt))
+    return tuple(single)
+
+
 def _take_settled(home, known, candidate, report):
     if known.is_over:
         return
@@ -167,15 +195,23 @@
       A tuple of TaskAnswers, one a task.
     """
     holders = {holder for task in known.tasks for holder in task.attempts.values()}
-    holders |= _witness(home, known, holders)
-    closes = [(holder, _close(known, holder)) for holder in holders]
-    answers = await asyncio.gather(*(home.claim(*pair) for pair in closes))
+    holders = tuple(holders | _witness(home, known, holders))
+    answers = await asyncio.gather(
+        *(home.claim(holder, _close(known, holder)) for holder in holders)
+    )
+    fence = max((claimed.fence for claimed in answers if claimed), default=0)
+    if fence > known.generation:
+        # What a later owner started is not in the refused answer.
+        home.move(known, fence)
+        return ()
+    closed_at = {
+        holder
+        for holder, claimed in zip(holders, answers, strict=True)
+        if claimed is not None
+    }
     candidates = known.ticket.candidates
     closed = not candidates or any(
-        claimed is not None
-        and claimed.closed
-        and holder.member.incarnation in candidates
-        for (holder, _), claimed in zip(closes, answers, strict=True)
+        holder.member.incarnation in candidates for holder in closed_at
     )
     reports = {
         (report.index, report.attempt): report
@@ -184,7 +220,7 @@
         for report in claimed.attempts
     }
     return tuple(
-        task.answer or _final(task, index, reports, closed)
+        task.answer or _final(task, index, reports, closed, closed_at)
         for index, task in enumerate(known.tasks)
     )
 
@@ -201,10 +237,13 @@
     return set()
 
 
-def _final(task, index, reports, closed):
+def _final(task, index, reports, closed, closed_at):
     """Say what can be shown true of a task that has no answer."""
-    for attempt in task.attempts:
+    for attempt, holder in task.attempts.items():
         report = reports.get((index, attempt))
+        if report is None and holder in closed_at:
+            # It had not arrived when the job was closed, so it never starts.
+            continue
         if report is None or report.state != _NEVER:
             return _final_started(report)
     if task.evidence is not None:
@@ -217,8 +256,13 @@
 
 
 def _final_started(report):
-    if report is not None and report.state == _FINISHED:
+    verdict = report.verdict if report and report.state == _FINISHED else None
+    if verdict == contract.Verdict.SUCCEEDED and report.body_held:
         return job.TaskAnswer(job.TaskOutcome.RAN, report.body, "")
+    if verdict in (contract.Verdict.SUCCEEDED, contract.Verdict.FAILED):
+        text = report.body.decode("utf-8", "replace") if report.body_held else ""
+        error = text or "the result is no longer held"
+        return job.TaskAnswer(job.TaskOutcome.RAN, b"", error)
     error = "started, and not awaited"
     return job.TaskAnswer(job.TaskOutcome.MAY_HAVE_RUN, b"", error)
 
--- a/packages/dispatch/src/jujubeglade/entry/router.py
+++ b/packages/dispatch/src/jujubeglade/entry/router.py
@@ -5,6 +5,8 @@
 once".
 """
 
+import dataclasses
+
 import result
 
 from jujubeglade.core import problem, routing
@@ -101,6 +103,8 @@
         """
         end_ms = self._clock.now_ms() + wait_ms
         refused = None
+        # Whether an owner that took the message may have started something.
+        unsure = False
         generation = 0
         while generation < len(held.owners):
             presence = self._membership.find(held.owners[generation])
@@ -112,12 +116,16 @@
             asked = await presence.link.ask(message(generation), timeout_ms)
             if asked.is_ok() and isinstance(asked.ok_value, routing.Moved):
                 generation = max(generation + 1, asked.ok_value.generation)
+                unsure = True
                 continue
-            if asked.is_ok() or not _goes_on(asked.err_value, resume):
+            if asked.is_ok():
                 return asked
             refused = asked.err_value
+            unsure = unsure or refused.outcome == problem.Outcome.UNKNOWN
+            if not _goes_on(refused, resume):
+                break
             generation += 1
-        return result.Err(refused or _owners_lost())
+        return result.Err(_with_doubt(refused or _owners_lost(), unsure))
 
 
 def _goes_on(cause, resume):
@@ -126,6 +134,13 @@
     return lost or (not resume and cause.kind == problem.Kind.UNKNOWN_JOB)
 
 
+def _with_doubt(refused, unsure):
+    """Say unknown when an earlier owner may have started something."""
+    if unsure and refused.outcome != problem.Outcome.UNKNOWN:
+        return dataclasses.replace(refused, outcome=problem.Outcome.UNKNOWN)
+    return refused
+
+
 def _owners_lost():
     return problem.Problem(
         kind=problem.Kind.HOME_LOST,
