Add relays that cut links, and the address an agent is reached at

Cause: no test could cut a link one way, and an agent behind NAT told others an address they can't reach. An agent kept answering a home on the link that the home had given up, as long as that link looked open here; a new link of the same agent now replaces it.

--- a/packages/bench/src/jujubeglade/bench/cluster.py
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -23,7 +23,7 @@
 import aiohttp
 
 from jujubeglade.core import clock
-from jujubeglade.fakes import upstream
+from jujubeglade.fakes import upstream, wire
 
 CALLER_TOKENS = {
     "alpha": "caller-token-of-alpha",
@@ -54,6 +54,7 @@
       connections: An integer, of each upstream.
       service: A string, the service of all upstreams.
       limits: A mapping, the limits of every settings file.
+      relays: A boolean, whether links between processes go through relays.
     """
 
     zones: tuple[str, ...] = ("a", "b", "c")
@@ -63,6 +64,7 @@
     connections: int = 64
     service: str = "parts"
     limits: dict = dataclasses.field(default_factory=dict)
+    relays: bool = False
 
 
 #: The deployments of the two users.
@@ -83,7 +85,14 @@
         self.shape = shape
         self.folder = folder
         self.processes = {}
-        self._ports = _free_ports(4 + 2 * shape.entries + 4 * shape.workers)
+        relayed = (shape.workers + shape.entries) * (shape.entries + 1)
+        self._ports = _free_ports(
+            4 + 2 * shape.entries + 4 * shape.workers + shape.relays * relayed
+        )
+        # Relays and their ports, by the pair of dialer and target; the dialer `*`
+        # stands for all other agents.
+        self.relays = {}
+        self._relay_ports = {}
         self._store_port = self._ports.pop()
         self._store_control_port = self._ports.pop()
         self._commands = {}
@@ -118,6 +127,8 @@
 
     async def launch(self):
         """Start everything and wait until every entry hears every worker."""
+        for pair, (port, target) in self._relay_ports.items():
+            self.relays[pair] = await wire.open_relay((_HOST, target), port)
         await self.start_process("store")
         for name in self.entry_names:
             await self.start_process(name)
@@ -166,6 +177,17 @@
         """
         self.processes[name].send_signal(signal.SIGCONT)
 
+    def relays_of(self, name):
+        """List the relays of the links of a process, of either side.
+
+        Args:
+          name: A string.
+
+        Returns:
+          A list of wire.Relays.
+        """
+        return [relay for pair, relay in self.relays.items() if name in pair]
+
     async def terminate(self, name):
         """Ask a process to leave gracefully and wait for its end.
 
@@ -232,6 +254,8 @@
 
     async def stop(self):
         """End every process that this cluster started."""
+        for relay in self.relays.values():
+            relay.heal()
         for process in self.processes.values():
             if process.returncode is None:
                 # A frozen process takes no other signal.
@@ -244,6 +268,8 @@
             except TimeoutError:
                 process.kill()
                 await process.wait()
+        for relay in self.relays.values():
+            await relay.close()
 
     async def _wait_entry(self, session, name, workers):
         if self.processes[name].returncode is not None:
@@ -268,7 +294,8 @@
 
     def _common(self, name, zone, stream_port):
         entries = {
-            entry: f"{_HOST}:{port}" for entry, port in self._stream_ports.items()
+            entry: f"{_HOST}:{self._reached_at(name, entry, port)}"
+            for entry, port in self._stream_ports.items()
         }
         return {
             "name": name,
@@ -281,6 +308,14 @@
             "limits": dict(self.shape.limits),
         }
 
+    def _reached_at(self, dialer, target, port):
+        """Put a relay before a port when the shape has relays."""
+        if not self.shape.relays or dialer == target:
+            return port
+        relay_port = self._ports.pop()
+        self._relay_ports[(dialer, target)] = (relay_port, port)
+        return relay_port
+
     def _entry_settings(self, name):
         zone = self.shape.zones[self.entry_names.index(name) % len(self.shape.zones)]
         return self._common(name, zone, self._stream_ports[name]) | {
@@ -294,7 +329,11 @@
     def _lay_out_worker(self, name):
         zone = self.zone_of(name)
         announce = self._ports.pop()
-        fields = self._common(name, zone, self._ports.pop())
+        stream_port = self._ports.pop()
+        fields = self._common(name, zone, stream_port)
+        if self.shape.relays:
+            reached = self._reached_at("*", name, stream_port)
+            fields["advertise"] = f"{_HOST}:{reached}"
         rack = self.worker_names.index(name) // _RACK_SIZE
         fields |= {
             "role": "agent",
--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -181,6 +181,9 @@
     announce: Address = rules.loopback(
         "Where the upstreams of this machine announce themselves."
     )
+    advertise: Address | None = rules.listener(
+        "Where other agents reach `stream`, if not there: behind NAT.", None
+    )
 
 
 ROLES = {"entry": EntrySettings, "agent": AgentSettings}
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -45,6 +45,8 @@
         self._uplinks = [
             uplink.Uplink(self, (entry.host, entry.port)) for entry in settings.entries
         ]
+        # The link that each other agent opened last, by its incarnation.
+        self._links = {}
         self._tasks = set()
         self._server = None
         self._runner = None
@@ -63,11 +65,13 @@
           A Member.
         """
         load = self.executor.load()
+        stream = self.settings.stream
+        reached = self.settings.advertise
         return member.Member(
             self.identity.incarnation,
             self.identity.name,
-            self.settings.stream.host,
-            self._stream_port,
+            reached.host if reached else stream.host,
+            reached.port if reached else self._stream_port,
             self.identity.zone,
             self.settings.rack,
             self.executor.services,
@@ -126,7 +130,25 @@
         await self.executor.close_upstreams()
 
     def on_link(self, opened):
-        """Note that another agent opened a link."""
+        """Let a new link of another agent replace the one it had.
+
+        The other agent has given the former link up, though this side may not have
+        heard so; answers must not go there.
+
+        Args:
+          opened: The Link.
+        """
+        former = self._links.get(opened.remote.incarnation)
+        self._links[opened.remote.incarnation] = opened
+        if former is not None:
+            former.close()
+        else:
+            self._spawn(self._forget_link(opened.remote.incarnation))
+
+    async def _forget_link(self, incarnation):
+        while self._links[incarnation].is_open:
+            await self._links[incarnation].wait_closed()
+        del self._links[incarnation]
 
     def on_message(self, opened, body):
         """Take a one-way message of another home.
