--- a/features/owners_rig.py
+++ b/features/owners_rig.py
@@ -68,6 +68,13 @@
         failed = isinstance(answer, problem.Problem)
         return result.Err(answer) if failed else result.Ok(answer)
 
+    async def watch(self, is_needed):
+        """Stay open: what falls silent here does so for good."""
+
+    async def wait_closed(self):
+        """Wait until closed."""
+        await self._closed.wait()
+
     async def run(self):
         """Live until closed."""
         await self._closed.wait()
@@ -172,7 +179,7 @@
 
     def cancel(self, name):
         """Cancel the job at an agent; return the asyncio task."""
-        order = routing.Cancel(self.ticket.key, "a step")
+        order = routing.Cancel(self.ticket.key, "", "a step")
         return self._loop.create_task(self.agents[name].home.cancel(order))
 
     def started(self):
--- a/features/steps/owners_steps.py
+++ b/features/steps/owners_steps.py
@@ -129,7 +129,7 @@
 
 async def _answer(context, name):
     home = context.rig.agents[name].home
-    return await home.query(routing.Query(context.rig.ticket.key, 4000))
+    return await home.query(routing.Query(context.rig.ticket.key, "", 4000))
 
 
 async def _tick(executor):
