Serve an agent's health, readiness and metrics on its http address

Cause: the agent opened no http address; its health stood on the announce address, which is the upstreams'. Events that operators care for are logged with ids as fields: leaving, configuration applied, permit lost and regained once each, takeover, failed jobs.

--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -5,14 +5,24 @@
 
 from aiohttp import web
 
-from jujubeglade.agent import announce, courier, executor, home, permit, uplink
+from jujubeglade.agent import (
+    announce,
+    courier,
+    executor,
+    home,
+    permit,
+    status,
+    uplink,
+)
 from jujubeglade.core import (
     audit,
     clock,
     contract,
     journal,
     link,
+    log,
     member,
+    metrics_page,
     problem,
     ticket,
 )
@@ -20,6 +30,8 @@
 _TICK_MS = 1000
 _LAST_RECORDS_MS = 100
 
+_log = log.get(__name__)
+
 
 class Agent:
     """One agent process and its parts."""
@@ -57,6 +69,9 @@
         self._tasks = set()
         self._server = None
         self._runner = None
+        self._status = status.Status(self)
+        self._status_runners = []
+        self._refused = None
         self._stream_port = settings.stream.port
         self._announce_port = settings.announce.port
 
@@ -65,6 +80,21 @@
         """Return the port of the announcements, once started."""
         return self._announce_port
 
+    @property
+    def http_port(self):
+        """Return the port of the pages of `status`, once started."""
+        return self._status_runners[0].addresses[0][1]
+
+    def refusal(self):
+        """Tell why no task may start here.
+
+        Returns:
+          A Reject, or None when tasks may start.
+        """
+        if self.executor.leaving:
+            return contract.Reject.LEAVING
+        return self.permits.refusal()
+
     def member(self):
         """Describe this agent to the entries.
 
@@ -99,6 +129,7 @@
         desk = self.settings.announce
         await web.TCPSite(self._runner, desk.host, desk.port).start()
         self._announce_port = self._runner.addresses[0][1]
+        await self._serve_status()
         for each in self._uplinks:
             self._spawn(each.run())
         self._spawn(self._beat())
@@ -107,6 +138,8 @@
 
     async def stop(self):
         """Leave gracefully: cut no request, then close everything."""
+        load = self.executor.load()
+        _log.info("leaving", running=load.running, queued=load.queued)
         self.executor.leaving = True
         self.home.leaving = True
         self.on_upstreams_changed()
@@ -132,6 +165,8 @@
                 each.link.close()
         await self._server.close()
         await self._runner.cleanup()
+        for each in self._status_runners:
+            await each.cleanup()
         await self.executor.close_upstreams()
 
     def on_link(self, opened):
@@ -187,6 +222,7 @@
 
     def on_configuration(self):
         """Go on under a new configuration."""
+        _log.info("configuration applied", revision=self.permits.revision)
         self.journal.record(
             journal.Kind.CONFIGURATION, "configuration", revision=self.permits.revision
         )
@@ -198,6 +234,29 @@
         for each in self._uplinks:
             each.heartbeat()
 
+    async def _serve_status(self):
+        """Open the pages for operators and for readers of the metrics."""
+        app = self._status.application()
+        http = await metrics_page.serve(app, self.settings.http)
+        self._status_runners.append(http)
+        if self.settings.metrics is not None:
+            app = self._status.metrics_application()
+            page = await metrics_page.serve(app, self.settings.metrics)
+            self._status_runners.append(page)
+
+    def _log_refusal(self):
+        """Log once when no task may start here, and once when tasks may again."""
+        refused = self.refusal()
+        if refused == self._refused:
+            return
+        self._refused = refused
+        if refused is None:
+            _log.info("starts permitted", revision=self.permits.revision)
+        elif refused == contract.Reject.NO_PERMIT:
+            _log.error("no permit to start tasks", revision=self.permits.revision)
+        else:
+            _log.info("no task may start", reason=str(refused))
+
     def _entry_links(self):
         return [each.link for each in self._uplinks if each.link is not None]
 
@@ -223,6 +282,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_TICK_MS))
             wall_ms = self.clock.wall_ms()
+            self._log_refusal()
             self.executor.tick(wall_ms)
             self.home.tick(wall_ms)
 
--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -23,8 +23,6 @@
     app.router.add_post("/v1/announce", desk.announce)
     app.router.add_post("/v1/renew", desk.renew)
     app.router.add_post("/v1/leave", desk.leave)
-    app.router.add_get("/health", desk.health)
-    app.router.add_get("/ready", desk.ready)
     return app
 
 
@@ -64,17 +62,6 @@
         self._agent.on_upstreams_changed()
         return web.json_response({"lease": known.lease, "running": known.running})
 
-    async def health(self, request):
-        """Tell that the process serves."""
-        return web.json_response({"status": "ok"})
-
-    async def ready(self, request):
-        """Tell whether starts are permitted."""
-        refusal = self._agent.permits.refusal()
-        status = 200 if refusal is None else 503
-        text = "ready" if refusal is None else str(refusal)
-        return web.json_response({"status": text}, status=status)
-
     def _find(self, fields):
         lease = fields.get("lease") if isinstance(fields, dict) else None
         known = self._agent.executor.upstream(lease)
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -121,6 +121,8 @@
         "_running",
         "_upstreams",
         "leaving",
+        "rejected",
+        "started",
     )
 
     def __init__(self, identity, clock, journal, permits, limits):
@@ -149,6 +151,9 @@
         self._held_bytes = 0
         self._floor_ms = 0
         self.leaving = False
+        # Totals for the metrics: attempts started, and rejected by reason.
+        self.started = 0
+        self.rejected = collections.Counter()
 
     @property
     def floor_ms(self):
@@ -357,6 +362,7 @@
 
     def _reject(self, link, key, entry, reason, retry_after_ms=0):
         load = self.load()
+        self.rejected[reason] += 1
         self._attempts.note(audit.Kind.REJECTED, key, entry.index, entry.attempt)
         if link is not None:
             link.send(
@@ -411,6 +417,7 @@
         attempt.upstream = upstream
         upstream.running += 1
         self._running += 1
+        self.started += 1
         task_id = attempt.task_id
         self._attempts.note(
             audit.Kind.STARTED, known.key, task_id.index, task_id.attempt
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -7,10 +7,11 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 
 from jujubeglade.agent import listing, owned, policy, takeover, worker
-from jujubeglade.core import clock, contract, job, problem, routing, ticket
+from jujubeglade.core import clock, contract, job, log, problem, routing, ticket
 from jujubeglade.core import journal as audit
 
 CLAIM_PATIENCE_MS = 1500
@@ -20,6 +21,8 @@
 _MAX_REJECTS = 50
 _RETRY_AFTER_MS = 1000
 
+_log = log.get(__name__)
+
 _SUCCEEDED = contract.Verdict.SUCCEEDED
 _UNSUITABLE = frozenset(
     (
@@ -85,6 +88,9 @@
         self._held_bytes = 0
         self._floor_ms = 0
         self.leaving = False
+        # Totals for the metrics: jobs accepted by tenant, and answered by state.
+        self.accepted = collections.Counter()
+        self.answered = collections.Counter()
 
     @property
     def is_idle(self):
@@ -605,6 +611,7 @@
         now_ms = self._clock.now_ms()
         known = owned.OwnedJob(submit.submission, held, submit.generation, now_ms)
         self._jobs[held.key] = known
+        self.accepted[submit.submission.tenant] += 1
         self._journal.record(
             audit.Kind.ACCEPTED,
             held.key,
@@ -623,6 +630,7 @@
         delay = clock.seconds(submit.submission.deadline_ms)
         known.deadline_handle = loop.call_later(delay, self._on_deadline, known)
         if submit.generation > 0:
+            _log.warning("takeover", job=held.key, generation=submit.generation)
             self.spawn(takeover.take_over(self, known, by_incarnation))
         else:
             self.make_ready(known, range(len(known.tasks)))
@@ -671,6 +679,10 @@
 
     def _answer(self, known, answer):
         known.answer = answer
+        self.answered[answer.state] += 1
+        if answer.state == job.State.FAILED:
+            tenant = known.submission.tenant
+            _log.info("job failed", job=known.key, tenant=tenant, reason=answer.reason)
         self._journal.record(
             audit.Kind.ANSWERED,
             known.key,
