--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -7,9 +7,10 @@
 """
 
 import asyncio
+import collections
 
 from jujubeglade.agent import listing, owned, policy, takeover, worker
-from jujubeglade.core import clock, contract, job, problem, routing, ticket
+from jujubeglade.core import clock, contract, job, log, problem, routing, ticket
 from jujubeglade.core import journal as audit
 
 CLAIM_PATIENCE_MS = 1500
@@ -21,6 +22,8 @@
 _MAX_REJECTS = 50
 _RETRY_AFTER_MS = 1000
 
+_log = log.get(__name__)
+
 _SUCCEEDED = contract.Verdict.SUCCEEDED
 _UNSUITABLE = frozenset(
     (
@@ -86,6 +89,9 @@
         self._held_bytes = 0
         self._floor_ms = 0
         self.leaving = False
+        # Totals for the metrics: jobs accepted by tenant, and answered by state.
+        self.accepted = collections.Counter()
+        self.answered = collections.Counter()
 
     @property
     def is_idle(self):
@@ -609,6 +615,7 @@
         now_ms = self._clock.now_ms()
         known = owned.OwnedJob(submit.submission, held, submit.generation, now_ms)
         self._jobs[held.key] = known
+        self.accepted[submit.submission.tenant] += 1
         self._journal.record(
             audit.Kind.ACCEPTED,
             held.key,
@@ -627,6 +634,7 @@
         delay = clock.seconds(submit.submission.deadline_ms)
         known.deadline_handle = loop.call_later(delay, self._on_deadline, known)
         if submit.generation > 0:
+            _log.warning("takeover", job=held.key, generation=submit.generation)
             # Until the executors have been asked an earlier owner may have started
             # any of the tasks.
             for task in known.tasks:
@@ -692,6 +700,10 @@
 
     def _answer(self, known, answer):
         known.answer = answer
+        self.answered[answer.state] += 1
+        if answer.state == job.State.FAILED:
+            tenant = known.submission.tenant
+            _log.info("job failed", job=known.key, tenant=tenant, reason=answer.reason)
         self._journal.record(
             audit.Kind.ANSWERED,
             known.key,
