Ask one entry for permits, and carry records on heartbeats

Ruled out: fewer beats with the old permit (its remainder falls to a second, the age of the entry's own view); permits on other messages (they go to homes). An agent now asks one entry each second, the next one at once when that one is silent or has no permit; the others hear of it each 10 s. An entry that awaits an answer pings an agent that is silent. Permits last 2.5 s, entries read the store twice a second. The way to in_force by all agents' acknowledgements is gone: the model shows a start still under way at an agent that has acknowledged, and nothing used it. Its scenario now asks for the stricter end: not in force before its time.

--- a/features/owners_rig.py
+++ b/features/owners_rig.py
@@ -155,7 +155,7 @@
             each.executor.add_upstream(self.stages[name])
             each.permits.apply(member.Configuration(1, b"{}"))
             now_ms = each.clock.now_ms()
-            each.permits.grant(member.Permit(now_ms, 1, _PERMIT_MS))
+            each.permits.grant(member.Permit(now_ms, 1, _PERMIT_MS, 0))
         self._patch = mock.patch.object(link, "dial", self._dial)
         self._patch.start()
         group = [each.identity.incarnation for each in self.agents.values()]
--- a/features/permits.feature
+++ b/features/permits.feature
@@ -147,17 +147,15 @@
       | B   |
       | C   |
 
-  Scenario: Acknowledgements of the agents count once every entry holds the drain
+  Scenario: A drain that every entry holds is still not in force before its time
     Given the permit entries A B C
     And all permit entries read the store at revision 4
     And the permit entry C is cut off
     When a drain of revision 5 is recorded by A
-    And all agents acknowledge the drain to A
     Then the drain is "accepted" at A
     When the permit entry C is joined to all
     And A spreads the drain again
-    And all agents acknowledge the drain to A
-    Then the drain is "in_force" at A
+    Then the drain is "accepted" at A
 
   Scenario: A peer that never answers holds up nobody
     Given the permit entries A B C
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -30,7 +30,7 @@
       entry-1.json5: limits.windw_ms: no such setting; did you mean window_ms?
       entry-1.json5: limits.max_jobs: "many" isn't a whole number; write a whole number from 1 to 1000000
       entry-1.json5: limits.candidates: 1 is out of range; write a whole number from 2 to 64
-      entry-1.json5: limits.permit_ms: 600 ms is less than two heartbeats of 500 ms; raise permit_ms or lower heartbeat_ms
+      entry-1.json5: limits.permit_ms: 600 ms is less than two heartbeats of 1000 ms; raise permit_ms or lower heartbeat_ms
       entry-1.json5: store.address: "10.0.0.9:2379" isn't a URL; write one such as "http://10.0.0.9:2379"
       entry-1.json5: store.timeout_ms: 1 is out of range; write a whole number from 50 to 30000
       entry-1.json5: http: the address of stream too; give each its own port
@@ -54,7 +54,7 @@
       """
       worker-01.json5: store: a setting of role entry only; remove it
       worker-01.json5: log_level: "inof" isn't known; did you mean info? write one of debug, info, notice, warning, error
-      worker-01.json5: limits.permit_ms: 2000.5 isn't a whole number; write a whole number from 200 to 5000
+      worker-01.json5: limits.permit_ms: 2000.5 isn't a whole number; write a whole number from 200 to 4000
       worker-01.json5: limits.heartbeat_ms: true isn't a whole number; write a whole number from 50 to 2000
       worker-01.json5: limits.max_payload_bytes: 5000000 is more than max_body_bytes (4194304); lower it, or raise max_body_bytes
       worker-01.json5: announce: 10.0.0.5 can be reached from outside; write a loopback address, such as "127.0.0.1:7300"
--- a/features/steps/permits_steps.py
+++ b/features/steps/permits_steps.py
@@ -9,6 +9,7 @@
 from jujubeglade.entry import acceptance, freshness, latest, vote
 
 _WAIT_S = 10
+_PERMIT_MS = 2000
 _DRAIN = 5
 
 
@@ -25,10 +26,10 @@
 
         fetch = vote.fetcher(name, ask)
         self.freshness = freshness.Freshness(
-            self.voter, self.latest, cluster.clock, ask, fetch
+            self.voter, self.latest, cluster.clock, ask, fetch, _PERMIT_MS
         )
         self.acceptance = acceptance.Acceptance(
-            self.voter, self.latest, cluster.clock, ask
+            self.voter, self.latest, cluster.clock, ask, _PERMIT_MS
         )
 
     def read_store(self, revision, begin_ms):
@@ -164,11 +165,6 @@
     context.cluster.entries[name].voter.answer(vote.Offer("X", data.encode()))
 
 
-@when("all agents acknowledge the drain to {name}")
-def step_agents(context, name):
-    context.cluster.entries[name].acceptance.agents_acknowledged(_DRAIN)
-
-
 @when("the permit entries run until each has a permit and the drain is accepted")
 def step_run(context):
     run(run_until_settled(context.cluster))
--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -84,10 +84,13 @@
         5_000, 3_600_000, "How long a ticket is good after its issue.", 120_000
     )
     permit_ms: int = rules.integer(
-        200, 5_000, "How long a permit to start tasks is good.", 2_000
+        200,
+        4_000,
+        "How long a permit to start tasks is good; the same at all entries.",
+        2_500,
     )
     heartbeat_ms: int = rules.integer(
-        50, 2_000, "Time between two heartbeats of a stream.", 500
+        50, 2_000, "Time between two heartbeats of an agent to one entry.", 1_000
     )
     connect_ms: int = rules.integer(
         50, 30_000, "Longest wait for a connection to open.", 1_000
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -75,6 +75,11 @@
         """Tell whether messages can still be sent."""
         return not self._closed.done()
 
+    @property
+    def is_awaiting(self):
+        """Tell whether a question is unanswered."""
+        return bool(self._asked)
+
     def send(self, body):
         """Send a one-way message.
 
--- a/packages/core/src/jujubeglade/core/member.py
+++ b/packages/core/src/jujubeglade/core/member.py
@@ -1,7 +1,7 @@
 """Members: the agents an entry hears from, and what the two tell each other.
 
-Membership is soft state. An agent dials every entry and sends a `Heartbeat`
-each half second; the entry answers with a `Permit`. Nothing of it is stored.
+Membership is soft state. An agent dials every entry and sends each a
+`Heartbeat` now and then; the entry answers with a `Permit`. Nothing of it is stored.
 """
 
 import dataclasses
@@ -45,17 +45,21 @@
 
     Attributes:
       sent_ms: A float, the agent's monotonic clock at sending.
+      period_ms: An integer, when the next one is to be expected.
       member: A Member.
       load: A Load.
       leaving: A boolean, whether it takes no new work.
       revision: An integer, the highest revision it has applied.
+      records: Bytes, audit records as `journal.pack` makes them; may be empty.
     """
 
     sent_ms: float
+    period_ms: int
     member: Member
     load: contract.Load
     leaving: bool
     revision: int
+    records: bytes
 
 
 @message.register(42)
@@ -66,11 +70,13 @@
       sent_ms: A float, copied from the heartbeat it answers.
       revision: An integer, of the configuration it was granted under.
       remaining_ms: An integer, the time it lasts, counted from `sent_ms`.
+      stored: An integer, the last audit record of the agent that the store holds.
     """
 
     sent_ms: float
     revision: int
     remaining_ms: int
+    stored: int
 
 
 @message.register(43)
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -7,6 +7,7 @@
 
 from jujubeglade.agent import (
     announce,
+    beat,
     courier,
     executor,
     home,
@@ -66,6 +67,7 @@
         self._uplinks = [
             uplink.Uplink(self, (entry.host, entry.port)) for entry in settings.entries
         ]
+        self.beats = beat.Beats(self, self._uplinks)
         # The link that each other agent opened last, by its incarnation.
         self._links = {}
         self._tasks = set()
@@ -136,9 +138,8 @@
         await self._serve_status()
         for each in self._uplinks:
             self._spawn(each.run())
-        self._spawn(self._beat())
+        self._spawn(self.beats.run())
         self._spawn(self._tick())
-        self._spawn(self._send_records())
 
     async def stop(self):
         """Leave gracefully: cut no request, then close everything."""
@@ -154,7 +155,7 @@
                     await asyncio.sleep(clock.seconds(20))
         self.executor.flush_records()
         self.journal.close()
-        self.courier.send(self._entry_links())
+        self.beats.flush()
         await asyncio.sleep(clock.seconds(_LAST_RECORDS_MS))
         await self.close()
 
@@ -253,8 +254,7 @@
 
     def on_upstreams_changed(self):
         """Tell the entries at once what can be run here."""
-        for each in self._uplinks:
-            each.heartbeat()
+        self.beats.announce()
 
     async def _serve_status(self):
         """Open the pages for operators and for readers of the metrics."""
@@ -279,27 +279,11 @@
         else:
             _log.info("no task may start", reason=str(refused))
 
-    def _entry_links(self):
-        return [each.link for each in self._uplinks if each.link is not None]
-
-    async def _send_records(self):
-        while True:
-            await asyncio.sleep(clock.seconds(courier.SEND_MS))
-            self.journal.mark_when_quiet()
-            self.executor.flush_records(due_only=True)
-            self.courier.send(self._entry_links())
-
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _beat(self):
-        while True:
-            await asyncio.sleep(clock.seconds(self.settings.limits.heartbeat_ms))
-            for each in self._uplinks:
-                each.heartbeat()
-
     async def _tick(self):
         while True:
             await asyncio.sleep(clock.seconds(_TICK_MS))
--- a/packages/dispatch/src/jujubeglade/agent/courier.py
+++ b/packages/dispatch/src/jujubeglade/agent/courier.py
@@ -1,12 +1,11 @@
-"""The courier: brings this agent's audit records to an entry.
+"""The courier: hands this agent's audit records to the granting entry.
 
-Records go to one entry at a time, the first that is connected. What that entry
-has not reported as stored within `_RESEND_MS` is sent again, to it or another.
+Records travel on heartbeats, and permits say how far the store holds them. What is
+not reported as stored within `_RESEND_MS` is sent again, to that entry or another.
 """
 
-from jujubeglade.core import audit, journal
+from jujubeglade.core import journal
 
-SEND_MS = 1000
 _RESEND_MS = 10_000
 _BATCH_RECORDS = 500
 _BATCH_BYTES = 64 * 1024
@@ -15,7 +14,14 @@
 class Courier:
     """Sends the records of one agent."""
 
-    __slots__ = ("_clock", "_journal", "_link", "_sent", "_sent_ms")
+    __slots__ = (
+        "_acknowledged",
+        "_clock",
+        "_journal",
+        "_link",
+        "_progress_ms",
+        "_sent",
+    )
 
     def __init__(self, records, clock):
         """Start with nothing sent.
@@ -28,33 +34,41 @@
         self._clock = clock
         self._link = None
         self._sent = 0
-        self._sent_ms = 0.0
+        self._acknowledged = 0
+        self._progress_ms = 0.0
 
-    def send(self, links):
-        """Send what has not been sent.
+    def batch(self, link):
+        """Take the records that the next heartbeat carries.
 
         Args:
-          links: A sequence of the open Links to entries.
+          link: The Link that will carry them.
+
+        Returns:
+          Bytes, as `journal.pack` makes them; empty when there is nothing new.
         """
-        if not links:
-            return
+        self._journal.mark_when_quiet()
         now_ms = self._clock.now_ms()
-        if self._link not in links or now_ms - self._sent_ms > _RESEND_MS:
-            self._link = links[0]
+        late = self._sent and now_ms - self._progress_ms > _RESEND_MS
+        if link is not self._link or late:
+            self._link = link
             self._sent = 0
         batch = self._journal.pending(_BATCH_RECORDS, _BATCH_BYTES, self._sent)
         if not batch:
-            return
-        self._link.send(audit.Batch(journal.pack(batch)))
+            return b""
+        if self._sent == 0:
+            self._progress_ms = now_ms
         self._sent = batch[-1].sequence
-        self._sent_ms = now_ms
+        return journal.pack(batch)
 
-    def on_stored(self, stored):
+    def on_stored(self, sequence):
         """Forget records that the store holds.
 
         Args:
-          stored: A Stored.
+          sequence: An integer, the last record of this incarnation that it holds.
         """
-        if stored.incarnation == self._journal.incarnation:
-            self._journal.acknowledge(stored.sequence)
-            self._sent_ms = self._clock.now_ms()
+        if sequence > self._acknowledged:
+            self._acknowledged = sequence
+            self._journal.acknowledge(sequence)
+            self._progress_ms = self._clock.now_ms()
+        if sequence >= self._sent:
+            self._progress_ms = self._clock.now_ms()
--- a/packages/dispatch/src/jujubeglade/agent/uplink.py
+++ b/packages/dispatch/src/jujubeglade/agent/uplink.py
@@ -9,13 +9,12 @@
 from jujubeglade.core import audit, clock, link, member, problem, routing
 
 _REDIAL_MS = 300
-MAX_MISSED_MS = 2000
 
 
 class Uplink:
     """The stream to one entry."""
 
-    __slots__ = ("_address", "_agent", "_heard_ms", "_link", "_serve")
+    __slots__ = ("_address", "_agent", "_granted", "_link", "_serve", "sent_ms")
 
     def __init__(self, agent, address):
         """Start without a link.
@@ -27,7 +26,8 @@
         self._agent = agent
         self._address = address
         self._link = None
-        self._heard_ms = 0.0
+        self._granted = None
+        self.sent_ms = 0.0
         self._serve = {
             routing.Submit: agent.home.submit,
             routing.Query: agent.home.query,
@@ -53,24 +53,34 @@
                 await self._serve_link(dialed.ok_value)
             await asyncio.sleep(clock.seconds(_REDIAL_MS))
 
-    def heartbeat(self):
-        """Send a heartbeat; close a link on which nothing is heard any more."""
+    def heartbeat(self, period_ms, courier=None):
+        """Send a heartbeat.
+
+        Args:
+          period_ms: An integer, when the next one is to be expected.
+          courier: A Courier whose records it carries, or None.
+
+        Returns:
+          A future of a boolean, whether a permit was granted in answer; None when
+          there is no link.
+        """
         if self._link is None:
-            return
+            return None
         agent = self._agent
-        now_ms = agent.clock.now_ms()
-        if now_ms - self._heard_ms > MAX_MISSED_MS:
-            self._link.close()
-            return
+        self.sent_ms = agent.clock.now_ms()
         self._link.send(
             member.Heartbeat(
-                now_ms,
+                self.sent_ms,
+                period_ms,
                 agent.member(),
                 agent.executor.load(),
                 agent.executor.leaving,
                 agent.permits.revision,
+                courier.batch(self._link) if courier else b"",
             )
         )
+        self._granted = asyncio.get_running_loop().create_future()
+        return self._granted
 
     def on_message(self, opened, body):
         """Apply what the entry sends.
@@ -79,12 +89,8 @@
           opened: The Link.
           body: A Permit or a Configuration.
         """
-        self._heard_ms = self._agent.clock.now_ms()
         if isinstance(body, member.Permit):
-            self._agent.permits.grant(body)
-            self._agent.on_permit()
-        elif isinstance(body, audit.Stored):
-            self._agent.courier.on_stored(body)
+            self._take_permit(body)
         elif isinstance(body, member.Configuration):
             self._apply(body)
 
@@ -98,7 +104,6 @@
         Returns:
           The answer's body, or a Problem.
         """
-        self._heard_ms = self._agent.clock.now_ms()
         serve = self._serve.get(type(body))
         if serve is None:
             return problem.Problem(
@@ -110,12 +115,19 @@
         if self._agent.permits.apply(configuration):
             self._agent.on_configuration()
             # The entry learns of the revision at once, and grants under it.
-            self.heartbeat()
+            self._agent.beats.announce()
+
+    def _take_permit(self, permit):
+        agent = self._agent
+        agent.permits.grant(permit)
+        agent.courier.on_stored(permit.stored)
+        agent.on_permit()
+        if self._granted is not None and not self._granted.done():
+            self._granted.set_result(permit.remaining_ms > 0)
 
     async def _serve_link(self, opened):
         self._link = opened
-        self._heard_ms = self._agent.clock.now_ms()
-        self.heartbeat()
+        self._agent.beats.announce()
         try:
             await opened.run()
         finally:
--- a/packages/dispatch/src/jujubeglade/entry/acceptance.py
+++ b/packages/dispatch/src/jujubeglade/entry/acceptance.py
@@ -6,9 +6,9 @@
 | `accepted` | a majority holds it; permits under older revisions run out            |
 | `in_force` | no task starts under an older revision any more                       |
 
-A change is in force `freshness.PERMIT_MS` after it was accepted. It is so earlier if
-all agents concerned have acknowledged it *and* every entry holds it: until then an
-agent that restarts could still get an older permit from an entry that was cut off.
+A change is in force the time of a permit after it was accepted. That all agents apply
+it earlier is not enough: a start that one of them checked under the older revision may
+still be on its way to its upstream.
 
 The entry that spreads a change must live until the majority is complete: an entry that
 acknowledges and restarts hears from this one before its votes count again.
@@ -36,13 +36,13 @@
         "_accepted",
         "_ask",
         "_clock",
-        "_held_by_all",
         "_in_force",
         "_latest",
+        "_permit_ms",
         "_voter",
     )
 
-    def __init__(self, voter, latest, a_clock, ask):
+    def __init__(self, voter, latest, a_clock, ask, permit_ms=freshness.PERMIT_MS):
         """Start without any accepted revision.
 
         Args:
@@ -51,15 +51,16 @@
           a_clock: A Clock.
           ask: A coroutine function of a peer's name and a message, to a Result of
             the peer's answer.
+          permit_ms: An integer, how long a permit lasts; the same at all entries.
         """
         self._voter = voter
         self._latest = latest
+        self._permit_ms = permit_ms
         self._clock = a_clock
         self._ask = ask
         # Accepted revisions that are not yet in force, with the time of acceptance.
         self._accepted = {}
         self._in_force = 0
-        self._held_by_all = 0
 
     async def run(self):
         """Spread the latest document until a majority holds it, and each later one."""
@@ -86,15 +87,6 @@
         self._count(document.revision, len(holders) + 1)
         return self.stage(document.revision)
 
-    def agents_acknowledged(self, revision):
-        """Note that all agents concerned apply a revision or a higher one.
-
-        Args:
-          revision: An integer.
-        """
-        if revision <= self._held_by_all:
-            self._in_force = max(self._in_force, revision)
-
     def stage(self, revision):
         """Tell how far a revision has come; a higher one speaks for it too.
 
@@ -115,12 +107,10 @@
         """Note how many entries hold a revision, this one among them."""
         if holders >= self._voter.majority:
             self._accepted.setdefault(revision, self._clock.now_ms())
-        if holders == len(self._voter.others) + 1:
-            self._held_by_all = max(self._held_by_all, revision)
 
     def _age(self):
         """Move the revisions whose older permits have run out."""
-        over_ms = self._clock.now_ms() - freshness.PERMIT_MS
+        over_ms = self._clock.now_ms() - self._permit_ms
         for revision, accepted_ms in list(self._accepted.items()):
             if accepted_ms <= over_ms:
                 self._in_force = max(self._in_force, revision)
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -68,6 +68,8 @@
             own.limits.audit_records,
             self.cluster_key,
         )
+        # The last record of each agent that the store holds, by incarnation.
+        self._stored = {}
         self.membership = membership.Membership(wall, self.journal)
         self.issuer = issuer.Issuer(
             wall,
@@ -204,18 +206,22 @@
           opened: The Link.
           body: A Heartbeat.
         """
-        if isinstance(body, audit.Batch):
-            self._take_records(body)
-            return
         if not isinstance(body, member.Heartbeat):
             return
+        if body.records:
+            self._take_records(body.records)
         if self.membership.note(opened, body):
             self.issuer.forget()
         granted = self.freshness.permit(self.clock.now_ms())
         if body.revision < granted.revision:
             opened.send(self._configuration)
         opened.send(
-            member.Permit(body.sent_ms, granted.revision, int(granted.remaining_ms))
+            member.Permit(
+                body.sent_ms,
+                granted.revision,
+                int(granted.remaining_ms),
+                self._stored.get(body.member.incarnation, 0),
+            )
         )
 
     async def on_request(self, opened, body):
@@ -249,9 +255,14 @@
             self.clock,
             self.peers.ask,
             vote.fetcher(self.settings.name, self.peers.ask),
+            self.settings.limits.permit_ms,
         )
         self.acceptance = acceptance.Acceptance(
-            voter, self.latest, self.clock, self.peers.ask
+            voter,
+            self.latest,
+            self.clock,
+            self.peers.ask,
+            self.settings.limits.permit_ms,
         )
 
     def _application(self):
@@ -320,16 +331,14 @@
         for presence in self.membership.present():
             presence.link.send(self._configuration)
 
-    def _take_records(self, batch):
+    def _take_records(self, records):
         """Offer an agent's records; what is refused it sends again."""
-        unpacked = journal.unpack(batch.records)
+        unpacked = journal.unpack(records)
         if unpacked.is_ok():
             self.archive.offer(unpacked.ok_value)
 
     def _on_stored(self, process, incarnation, sequence):
-        presence = self.membership.find(incarnation)
-        if presence is not None:
-            presence.link.send(audit.Stored(incarnation, sequence))
+        self._stored[incarnation] = sequence
 
     async def _await_in_force(self, revision):
         end_ms = self.clock.now_ms() + _IN_FORCE_PATIENCE_MS
@@ -340,7 +349,10 @@
         return stage
 
     async def _watch_agent(self, opened):
+        watching = asyncio.create_task(opened.watch(lambda: opened.is_awaiting))
         await opened.wait_closed()
+        watching.cancel()
+        self._stored.pop(opened.remote.incarnation, None)
         self.membership.lose(opened)
         self.issuer.forget()
 
--- a/packages/dispatch/src/jujubeglade/entry/freshness.py
+++ b/packages/dispatch/src/jujubeglade/entry/freshness.py
@@ -18,7 +18,7 @@
 from jujubeglade.core import clock, log
 from jujubeglade.entry import vote
 
-PERMIT_MS = 2000
+PERMIT_MS = 2500
 HEARTBEAT_MS = 500
 _STORE_LATE_MS = 1100
 
@@ -42,9 +42,17 @@
 class Freshness:
     """The last confirmation of one entry's view."""
 
-    __slots__ = ("_ask", "_clock", "_confirmed_ms", "_fetch", "_latest", "_voter")
-
-    def __init__(self, voter, latest, a_clock, ask, fetch):
+    __slots__ = (
+        "_ask",
+        "_clock",
+        "_confirmed_ms",
+        "_fetch",
+        "_latest",
+        "_permit_ms",
+        "_voter",
+    )
+
+    def __init__(self, voter, latest, a_clock, ask, fetch, permit_ms=PERMIT_MS):
         """Start unconfirmed.
 
         Args:
@@ -55,12 +63,14 @@
             the peer's answer.
           fetch: A coroutine function of a peer's name, to a Result of the highest
             Document that the peer holds; see `vote.fetcher`.
+          permit_ms: An integer, how long a permit lasts; the same at all entries.
         """
         self._voter = voter
         self._latest = latest
         self._clock = a_clock
         self._ask = ask
         self._fetch = fetch
+        self._permit_ms = permit_ms
         self._confirmed_ms = None
 
     @property
@@ -79,7 +89,7 @@
         """
         remaining_ms = 0
         if self._confirmed_ms is not None:
-            remaining_ms = max(0, self._confirmed_ms + PERMIT_MS - now_ms)
+            remaining_ms = max(0, self._confirmed_ms + self._permit_ms - now_ms)
         return Permit(self._latest.revision, remaining_ms)
 
     def store_read(self, begin_ms):
--- a/packages/dispatch/src/jujubeglade/entry/ledger.py
+++ b/packages/dispatch/src/jujubeglade/entry/ledger.py
@@ -22,7 +22,7 @@
 from jujubeglade.core import clock, configuration, log, problem, store
 
 KEY = "jujubeglade/configuration"
-_POLL_MS = 1000
+_POLL_MS = 500
 _SUBMIT_MS = 2000
 _RETRY_MS = 25
 _WATCH_RETRY_MS = 500
--- a/packages/dispatch/src/jujubeglade/entry/membership.py
+++ b/packages/dispatch/src/jujubeglade/entry/membership.py
@@ -9,7 +9,7 @@
 from jujubeglade.core import journal as audit
 from jujubeglade.core import link, log, member
 
-SILENT_MS = 1500
+_LATE_MS = 1000
 
 _log = log.get(__name__)
 
@@ -21,12 +21,12 @@
     Attributes:
       sighting: A Sighting, from its last heartbeat.
       link: A Link.
-      heard_ms: A float, the monotonic time of the last heartbeat.
+      due_ms: A float, the monotonic time by which the next heartbeat is due.
     """
 
     sighting: member.Sighting
     link: link.Link
-    heard_ms: float
+    due_ms: float
 
     @property
     def member(self):
@@ -69,8 +69,8 @@
         sighting = member.Sighting(
             heartbeat.member, heartbeat.load, heartbeat.leaving, heartbeat.revision
         )
-        now_ms = self._clock.now_ms()
-        self._present[incarnation] = Presence(sighting, opened, now_ms)
+        due_ms = self._clock.now_ms() + heartbeat.period_ms + _LATE_MS
+        self._present[incarnation] = Presence(sighting, opened, due_ms)
         if joined:
             _log.info(
                 "worker joined",
@@ -127,7 +127,7 @@
                 presence.link.close()
 
     def _is_silent(self, presence):
-        return self._clock.now_ms() - presence.heard_ms > SILENT_MS
+        return self._clock.now_ms() > presence.due_ms
 
     def _strike(self, incarnation):
         presence = self._present.pop(incarnation)
