Model check ownership, drains, commands and leaves

Each mechanism of the design is a switch; a mutation turns one off and must give a counterexample. Found on the way: acknowledgements that the writer counts before it applied the change itself are unsafe after a restart (a 21-step counterexample), fresh entries must not let each other join, and an agent must not acknowledge over a start under way; the model holds with these three rules added.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 120
 SEED ?= 1
 
-.PHONY: setup demo test lint format
+.PHONY: setup demo test lint format check-model
 
 setup: $(VENV)/ready
 
@@ -21,6 +21,9 @@
 test: setup
 	$(BIN)/python -m features.run
 
+check-model: setup
+	$(BIN)/python -m jujubeglade.model
+
 lint: setup
 	$(BIN)/ruff format --check packages features
 	$(BIN)/ruff check packages features
--- /dev/null
+++ b/features/model.feature
@@ -0,0 +1,90 @@
+Feature: The core protocol is model checked
+  Each specification holds within small bounds, and each mechanism is needed: without
+  it the checker finds a counterexample.  `make check-model` runs larger bounds.
+
+  Scenario Outline: Every property of <specification> holds in every state
+    When the model checks the small bounds of "<specification>"
+    Then the model is exhaustive and every property holds
+
+    Examples:
+      | specification |
+      | ownership     |
+      | drain         |
+      | commands      |
+      | leave         |
+
+  Scenario Outline: <specification> can always still reach its goal
+    When the model checks the progress of "<specification>"
+    Then the model is exhaustive and every property holds
+
+    Examples:
+      | specification |
+      | ownership     |
+      | commands      |
+      | leave         |
+
+  Scenario: Permits go on while the store is down for all entries
+    When the model checks the progress of "drain" in an outage
+    Then the model is exhaustive and every property holds
+
+  Scenario Outline: In <specification>, <mutation>
+    When the model checks "<specification>" where "<mutation>"
+    Then the model finds "<property>" broken in <steps> steps
+
+    Examples: Ownership
+      | specification | mutation | property | steps |
+      | ownership | a refused attempt may start later (no tombstone) | at most one start | 8 |
+      | ownership | a successor trusts a timeout of a silent candidate | at most one start | 8 |
+      | ownership | a claim does not raise the fence | at most one start | 10 |
+      | ownership | a place below the fence is accepted | at most one start | 10 |
+      | ownership | a close below the fence is accepted | not_run is true | 10 |
+      | ownership | a restart answers for the former life | at most one start | 7 |
+      | ownership | the next attempt follows a timeout | at most one start | 7 |
+      | ownership | the home places on itself | at most one start | 8 |
+      | ownership | not_run without a close | not_run is true | 9 |
+      | ownership | a closed candidate starts or keeps silent | not_run is true | 10 |
+
+    Examples: Drain
+      | specification | mutation | property | steps |
+      | drain | a drain is accepted without a majority | no start after in force | 11 |
+      | drain | the writer counts what it was told before | no start after in force | 21 |
+      | drain | an entry that started afresh is counted | no start after in force | 16 |
+      | drain | fresh entries let each other join | no start after in force | 18 |
+      | drain | a fresh entry joins by one other entry | no start after in force | 16 |
+      | drain | a permit counts from the answer | no start after in force | 15 |
+      | drain | a view counts from the end of its confirmation | no start after in force | 17 |
+      | drain | the upstream has no Start-By check | no start after in force | 15 |
+      | drain | a drain is in force once it is accepted | no start after in force | 14 |
+      | drain | an agent acknowledges over a start | no start after in force | 18 |
+      | drain | an agent's revision may go down | a revision never reverts | 12 |
+
+    Examples: Commands
+      | specification | mutation | property | steps |
+      | commands | a retry carries a new id | a command id takes effect once | 6 |
+      | commands | after a lost race the change is applied anew | a command id takes effect once | 9 |
+      | commands | a swap does not compare | a command id takes effect once | 6 |
+      | commands | a lost answer is told as refused | refused is true | 4 |
+      | commands | a refused retry is told as refused for good | refused is true | 6 |
+      | commands | a swap is told as accepted without its answer | accepted is true | 3 |
+
+    Examples: Leave
+      | specification | mutation | property | steps |
+      | leave | the agent takes tasks for a leaving upstream | no work after the leave | 5 |
+      | leave | waiting tasks are sent on after the leave | no work after the leave | 5 |
+      | leave | a leave is acknowledged over starts under way | no work after the leave | 5 |
+      | leave | a late renewal opens the lease again | no work after the leave | 6 |
+      | leave | the upstream exits while tasks run | no request is cut | 6 |
+      | leave | the upstream exits before the acknowledgement | no request is cut | 5 |
+
+  Scenario Outline: <specification> does without: <relaxation>
+    When the model checks "<specification>" where "<relaxation>"
+    Then the model is exhaustive and every property holds
+
+    Examples:
+      | specification | relaxation |
+      | leave | accepted, then given back: no stop at the door |
+      | ownership | an executor accepts a second attempt |
+      | ownership | a successor places on itself |
+
+  Scenario: Every mutation is listed above
+    Then the model's feature names every mutation and relaxation
--- /dev/null
+++ b/features/steps/model_steps.py
@@ -0,0 +1,70 @@
+"""Steps for the model checks."""
+
+import pathlib
+
+from behave import then, when
+
+from jujubeglade.model import check, registry, spec
+
+_FEATURE = pathlib.Path(__file__).parent.parent / "model.feature"
+
+
+def _specification(name):
+    registry.specifications()
+    return spec.SPECIFICATIONS[name]
+
+
+@when('the model checks the small bounds of "{name}"')
+def step_small_bounds(context, name):
+    specification = _specification(name)
+    (bounds,) = specification.bounds["small"]
+    context.outcome = check.safety(specification, bounds)
+
+
+@when('the model checks the progress of "{name}"')
+def step_progress(context, name):
+    specification = _specification(name)
+    context.outcome = check.progress(specification, specification.progress_bounds[0])
+
+
+@when('the model checks the progress of "{name}" in an outage')
+def step_progress_in_outage(context, name):
+    specification = _specification(name)
+    (bounds,) = [each for each in specification.progress_bounds if each.outage]
+    context.outcome = check.progress(specification, bounds)
+
+
+@when('the model checks "{name}" where "{change}"')
+def step_mutated(context, name, change):
+    specification = _specification(name)
+    (mutation,) = [
+        each
+        for each in spec.MUTATIONS
+        if (each.specification, each.name) == (name, change)
+    ]
+    context.outcome = check.mutated(specification, mutation)
+
+
+@then("the model is exhaustive and every property holds")
+def step_holds(context):
+    assert context.outcome.exhaustive, context.outcome
+    assert not context.outcome.failures, context.outcome.failures
+
+
+@then('the model finds "{name}" broken in {steps:d} steps')
+def step_broken(context, name, steps):
+    found = context.outcome.failures
+    assert list(found) == [name], found
+    assert len(found[name]) == steps, found
+
+
+@then("the model's feature names every mutation and relaxation")
+def step_all_listed(context):
+    registry.specifications()
+    text = _FEATURE.read_text(encoding="utf-8")
+    missing = [
+        each.name
+        for each in spec.MUTATIONS
+        if f"| {each.specification} | {each.name} |" not in text
+    ]
+    assert not missing, missing
--- /dev/null
+++ b/packages/bench/src/jujubeglade/model/__main__.py
@@ -0,0 +1,90 @@
+"""The command that checks every specification and prints what it found.
+
+python -m jujubeglade.model          all bounds, as `make check-model` runs it
+python -m jujubeglade.model small    the bounds of CI
+"""
+
+import sys
+
+from jujubeglade.model import check, registry, spec
+
+
+def main(arguments):
+    """Check all specifications with their mutations.
+
+    Args:
+      arguments: A list of strings: nothing, or the name of the bounds.
+
+    Returns:
+      A process exit status: 0 when everything came out as expected.
+    """
+    size = arguments[0] if arguments else "full"
+    unexpected = 0
+    for specification in registry.specifications():
+        print(f"== {specification.name}")
+        unexpected += _check_safety(specification, size)
+        unexpected += _check_progress(specification)
+        unexpected += _check_mutations(specification)
+    print(f"{unexpected} unexpected")
+    return 1 if unexpected else 0
+
+
+def _check_safety(specification, size):
+    unexpected = 0
+    for bounds in specification.bounds[size]:
+        outcome = check.safety(specification, bounds)
+        _print_run(bounds, outcome)
+        unexpected += _print_properties(outcome)
+    return unexpected
+
+
+def _check_progress(specification):
+    unexpected = 0
+    for bounds in specification.progress_bounds:
+        outcome = check.progress(specification, bounds)
+        _print_run(bounds, outcome)
+        unexpected += _print_properties(outcome)
+    return unexpected
+
+
+def _print_run(bounds, outcome):
+    extent = "exhaustive" if outcome.exhaustive else "NOT EXHAUSTIVE"
+    print(f"{bounds}: {outcome.states} states, {extent}, {outcome.seconds:.1f} s")
+
+
+def _print_properties(outcome):
+    for name in outcome.properties:
+        found = outcome.failures.get(name)
+        if found is not None:
+            print(f"  BROKEN {name}: {'; '.join(found)}")
+        elif outcome.exhaustive:
+            print(f"  holds  {name}")
+        else:
+            print(f"  UNDETERMINED {name}")
+    sys.stdout.flush()
+    return len(outcome.failures) + (not outcome.exhaustive)
+
+
+def _check_mutations(specification):
+    unexpected = 0
+    for mutation in spec.MUTATIONS:
+        if mutation.specification == specification.name:
+            outcome = check.mutated(specification, mutation)
+            unexpected += not check.is_expected(mutation, outcome)
+            _print_mutation(mutation, outcome)
+    return unexpected
+
+
+def _print_mutation(mutation, outcome):
+    kind = "mutation" if mutation.expect_failure else "relaxation"
+    verdict = "no counterexample"
+    for name, steps in outcome.failures.items():
+        verdict = f"breaks '{name}' in {len(steps)} steps"
+    if not check.is_expected(mutation, outcome):
+        verdict = f"UNEXPECTED: {verdict}"
+    print(f"  {kind} '{mutation.name}': {verdict}, {outcome.states} states")
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/bench/src/jujubeglade/model/leave.py
@@ -0,0 +1,216 @@
+"""A graceful leave of an upstream from the agent beside it.
+
+The upstream asks to leave; the agent takes no more tasks, lets the starts under way
+arrive, and acknowledges; the upstream ends what runs and exits.  A renewal may arrive
+late.  What a restarted agent may say of its former life is part of `ownership`.
+"""
+
+import dataclasses
+import functools
+import typing
+
+from jujubeglade.model import spec
+
+SERVING = "serving"
+LEAVING = "leaving"
+LEFT = "left"
+EXITED = "exited"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """The mechanisms of the design; each field is one of them.
+
+    Attributes:
+      stops_at_leave: The agent takes no task for a leaving upstream.
+      requeues_waiting: Tasks that wait at the agent are refused, not sent.
+      settles_starts: The agent acknowledges once no start is on its way.
+      leave_is_final: A late renewal does not bring a lease that left back.
+      waits_for_running: The upstream exits once nothing runs.
+      waits_for_acknowledgement: The upstream exits once its leave is acknowledged.
+    """
+
+    stops_at_leave: bool = True
+    requeues_waiting: bool = True
+    settles_starts: bool = True
+    leave_is_final: bool = True
+    waits_for_running: bool = True
+    waits_for_acknowledgement: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """The sizes of a run.
+
+    Attributes:
+      tasks: The number of tasks that homes place on the agent.
+    """
+
+    tasks: int
+
+
+class State(typing.NamedTuple):
+    """The whole system; tasks are counted by where they are."""
+
+    upstream: str
+    open: bool
+    offered: int
+    waiting: int
+    starting: int
+    running: int
+    finished: int
+    refused: int
+    late: bool
+    cut: bool
+
+
+ACTIONS = []
+_action = functools.partial(spec.action, ACTIONS)
+
+
+def initial(setting):
+    """Return the state in which all tasks are still at their homes."""
+    return State(SERVING, True, setting.bounds.tasks, 0, 0, 0, 0, 0, False, False)
+
+
+@_action("accept", "jujubeglade.agent.executor")
+def accept(setting, state):
+    """The agent accepts a task, or refuses it when the upstream is leaving."""
+    if not state.offered:
+        return
+    if state.open or not setting.rules.stops_at_leave:
+        following = state._replace(waiting=state.waiting + 1)
+        yield "agent accepts", following._replace(offered=state.offered - 1)
+    else:
+        following = state._replace(refused=state.refused + 1)
+        yield "agent refuses", following._replace(offered=state.offered - 1)
+
+
+@_action("send_start", "jujubeglade.agent.executor")
+def send_start(setting, state):
+    """The agent sends a waiting task on, or refuses it when it was closed."""
+    if not state.waiting:
+        return
+    following = state._replace(waiting=state.waiting - 1)
+    if state.open or not setting.rules.requeues_waiting:
+        yield "agent starts", following._replace(starting=state.starting + 1)
+    else:
+        yield "agent gives back", following._replace(refused=state.refused + 1)
+
+
+@_action("arrive", "jujubeglade.agent.executor")
+def arrive(setting, state):
+    """A start arrives at the upstream."""
+    if not state.starting:
+        return
+    following = state._replace(
+        starting=state.starting - 1,
+        late=state.late or state.upstream == LEFT,
+        cut=state.cut or state.upstream == EXITED,
+    )
+    yield "upstream runs", following._replace(running=state.running + 1)
+
+
+@_action("finish", "jujubeglade.agent.executor")
+def finish(setting, state):
+    """A task ends and its answer goes to the agent."""
+    if state.running and state.upstream != EXITED:
+        following = state._replace(running=state.running - 1)
+        yield "task ends", following._replace(finished=state.finished + 1)
+
+
+@_action("leave", "jujubeglade.agent.lease")
+def leave(setting, state):
+    """The upstream asks to leave and the agent closes at once."""
+    if state.upstream == SERVING:
+        yield "upstream leaves", state._replace(upstream=LEAVING, open=False)
+
+
+@_action("acknowledge", "jujubeglade.agent.lease")
+def acknowledge(setting, state):
+    """The agent acknowledges the leave."""
+    if state.upstream != LEAVING:
+        return
+    if state.starting == 0 or not setting.rules.settles_starts:
+        yield "agent acknowledges", state._replace(upstream=LEFT)
+
+
+@_action("late_renewal", "jujubeglade.agent.lease")
+def late_renewal(setting, state):
+    """A renewal that was sent before the leave arrives after it."""
+    if state.upstream != SERVING and not setting.rules.leave_is_final:
+        yield "late renewal", state._replace(open=True)
+
+
+@_action("exit", "jujubeglade.fakes.upstream")
+def exit_upstream(setting, state):
+    """The upstream's process ends."""
+    if state.upstream == EXITED or state.upstream == SERVING:
+        return
+    if state.upstream == LEAVING and setting.rules.waits_for_acknowledgement:
+        return
+    if state.running and setting.rules.waits_for_running:
+        return
+    cut = state.cut or state.running > 0
+    yield "upstream exits", state._replace(upstream=EXITED, cut=cut)
+
+
+def no_late_work(fields):
+    """Tell whether nothing arrived after the leave was acknowledged."""
+    return not fields["late"]
+
+
+def nothing_cut(fields):
+    """Tell whether every task that reached the upstream could end."""
+    return not fields["cut"]
+
+
+def left(fields):
+    """Tell whether the upstream has gone and every task has a verdict."""
+    done = fields["finished"] + fields["refused"]
+    waiting = fields["offered"] + fields["waiting"] + fields["starting"]
+    return fields["upstream"] == EXITED and done > 0 and waiting == 0
+
+
+_SMALL = Bounds(tasks=2)
+
+SPECIFICATION = spec.register(
+    spec.Specification(
+        name="leave",
+        rules=Rules(),
+        bounds={"small": (_SMALL,), "full": (Bounds(tasks=6),)},
+        mutation_bounds=_SMALL,
+        progress_bounds=(Bounds(tasks=6),),
+        actions=tuple(ACTIONS),
+        initial=initial,
+        invariants={
+            "no work after the leave": no_late_work,
+            "no request is cut": nothing_cut,
+        },
+        goal=left,
+    )
+)
+
+_mutation = functools.partial(spec.mutation, "leave")
+
+
+def _off(field):
+    """Return a change that switches one mechanism off."""
+    return lambda rules: dataclasses.replace(rules, **{field: False})
+
+
+_mutation("the agent takes tasks for a leaving upstream")(
+    lambda rules: dataclasses.replace(
+        rules, stops_at_leave=False, requeues_waiting=False
+    )
+)
+spec.relaxation("leave", "accepted, then given back: no stop at the door")(
+    _off("stops_at_leave")
+)
+_mutation("waiting tasks are sent on after the leave")(_off("requeues_waiting"))
+_mutation("a leave is acknowledged over starts under way")(_off("settles_starts"))
+_mutation("a late renewal opens the lease again")(_off("leave_is_final"))
+_mutation("the upstream exits while tasks run")(_off("waits_for_running"))
+_mutation("the upstream exits before the acknowledgement")(
+    _off("waits_for_acknowledgement")
+)
