Prove the commands, requests and pages of a whole site

The features run an entry or two, workers and a store in one process and show requests and commands beside their answers. Found by them: a story was called 'recorded' while the store could not be read; such lines are left out now when anything is in doubt.

--- /dev/null
+++ b/features/operators.feature
@@ -0,0 +1,186 @@
+Feature: Operators run every command of their language at an entry
+
+  Scenario: What is there is shown
+    Given a site of 1 entry and 2 workers
+    Then the site's operator runs "drain zone south"
+      """
+      applied: drain zone south
+      in_force
+      """
+    And the site's operator runs "show zones"
+      """
+      zone state workers running queued slots
+      north in service 1 0 0 8
+      south drained 1 0 0 8
+      done
+      """
+    And the site's operator runs "show workers zone south"
+      """
+      worker zone rack state services running queued slots revision
+      worker-2 south rack-of-worker-2 zone drained parts 0 0 8 1
+      done
+      """
+    And the site's operator runs "set rule placement round_robin"
+      """
+      applied: set rule placement round_robin
+      in_force
+      """
+    And the site's operator runs "set quota hotel 50/s weight 3"
+      """
+      applied: set quota hotel 50/s weight 3
+      in_force
+      """
+    And the site's operator runs "show commands"
+      """
+      time id by status revision command
+      TIME KEY duty applied 3 set quota hotel 50/s weight 3
+      TIME KEY duty applied 2 set rule placement round_robin
+      TIME KEY duty applied 1 drain zone south
+      done
+      """
+    And the site's operator runs "show configuration"
+      """
+      revision 3
+      drained zones: south
+      drained workers: none
+      quota hotel 50/s weight 3
+      limit max_tasks_per_job 550 (settings)
+      limit max_payload_bytes 262144 (settings)
+      limit result_bytes 262144 (settings)
+      limit max_jobs 20000 (settings)
+      limit max_queue_tasks 5500 (settings)
+      limit max_connections 4096 (settings)
+      limit max_wait_ms 30000 (settings)
+      limit tickets_per_request 1000 (settings)
+      limit drain_grace_ms 30000 (settings)
+      rule placement round_robin
+      rule hedging off (default)
+      rule admission deadline (default)
+      rule queueing arrival (default)
+      done
+      """
+
+  Scenario: Jobs are listed and cancelled, one of them or all of a tenant
+    Given a site of 1 entry and 2 workers
+    And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
+    And the job <b> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 9000}}]}
+    Then the answer to "show jobs" comes to hold: <b-key> workshop running 1 0
+    And the answer to "show jobs" comes to hold: <a-key> workshop complete 1 1
+    And the site's operator runs "show jobs tenant hotel"
+      """
+      job tenant state tasks done
+      done
+      """
+    And the site's operator runs "cancel job <b-key>"
+      """
+      job <b-key> failed: cancelled: command KEY of duty
+      tasks: 1 may_have_run
+      done
+      """
+    And the site's operator runs "cancel job <b>"
+      """
+      job <b-key> failed: cancelled: command KEY of duty
+      tasks: 1 may_have_run
+      done
+      """
+    And the site's operator runs "cancel job 19ae52c3f01-0000000000"
+      """
+      no worker heard from owns job 19ae52c3f01-0000000000
+      check the id; look with: why job
+      unknown
+      """
+    Given the job <c> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 9000}}]}
+    Then the site's operator runs "cancel tenant workshop"
+      """
+      1 running jobs of workshop cancelled
+      done
+      """
+    And the site answers workshop GET /v1/jobs/<c> with 200 and {"state": "failed"}
+
+  Scenario: A submission that is repeated is the same job, at any entry
+    Given a site of 2 entries and 2 workers
+    And a command id <c> of now
+    When entry 1 is told "submit parts {"ms": 1} x 3 tenant hotel" as command <c>
+    Then the operator reads {"id": "<c>", "status": "done"}
+    When entry 2 is told "submit parts {"ms": 1} x 3 tenant hotel" as command <c>
+    Then the operator reads {"id": "<c>", "status": "done"}
+    And the submitted id is answered to the operator again
+    And the answer to "show jobs tenant hotel state complete" comes to hold: KEY hotel complete 3 3
+    And 3 tasks were started at the site
+    When entry 2 is told "submit parts {"ms": 2} x 3 tenant hotel" as command <c>
+    Then the operator reads {"status": "refused", "message": "the id stands for: submit parts {\"ms\": 1} x 3 tenant hotel"}
+    When entry 1 is told "submit parts {} tenant nobody" as command <c>
+    Then the operator reads {"status": "refused", "outcome": "not_run", "remedy": "name one of: hotel, workshop"}
+    When entry 1 is told "submit parts {} tenant hotel" as command c-1
+    Then the operator reads {"status": "refused", "outcome": "not_run", "message": "the id does not begin with the time now"}
+
+  Scenario: A command that is repeated has its first outcome, and a loser learns who won
+    Given a site of 2 entries and 2 workers
+    When entry 1 is told "drain zone south" as command c-1
+    Then the operator reads {"status": "in_force", "revision": 1}
+    When entry 2 is told "drain zone south" as command c-1
+    Then the operator reads {"status": "in_force", "revision": 1, "lines": ["applied: drain zone south"]}
+    When entry 2 is told "drain zone north" as command c-1
+    Then the operator reads {"status": "refused", "remedy": "use a new id for a new command"}
+    When entry 2 is told "restore zone south if revision 0" as command c-2
+    Then the operator reads {"status": "lost", "kind": "conflict", "message": "command c-1 changed zone south first, at revision 1"}
+    And the operator reads {"remedy": "nothing was changed; look, and if you still want it send it with a new id"}
+    When entry 1 is told "restore zone south if revision 0" as command c-2
+    Then the operator reads {"status": "lost", "message": "command c-1 changed zone south first, at revision 1"}
+
+  Scenario: What happened is told from the store and from what it does not hold yet
+    Given a site of 2 entries and 2 workers
+    And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
+    Then the answer to "why job <a-key>" comes to hold: recorded
+    And the answer to "why task <a-key>.0" comes to hold: recorded
+    And the answer to "explain job <a>" comes to hold: recorded
+    When entry 1 is told "drain zone south" as command c-9
+    Then the answer to "why command c-9" comes to hold: applied at revision 1: drain zone south
+    And the site's operator runs "why job c-9"
+      """
+      c-9 holds no time to look at
+      give an id that begins with the ms since 1970 in hexadecimal
+      refused
+      """
+    When the site's store goes down
+    Then the site's operator runs "why job <a-key>"
+      """
+      not recorded; the store can't be read: /v3/kv/range: no connection: Cannot connect to host HOST
+      done
+      """
+
+  Scenario: Metrics and logs show what an operator cares for
+    Given a site of 1 entry and 2 workers
+    And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
+    And the job <b> of the site: {"class": "urgent", "tasks": [{"service": "none"}], "wait_ms": 5000}
+    Then the site answers workshop POST /v1/jobs {} with 400 and {"kind": "bad_request"}
+    And the site's operator runs "drain worker worker-9"
+      """
+      applied: drain worker worker-9
+      in_force
+      """
+    And the metrics of the entry show
+      | line                                                                                          |
+      | jujubeglade_jobs_accepted_total{tenant="workshop"} 2                                          |
+      | jujubeglade_jobs_answered_total{state="complete"} 1                                           |
+      | jujubeglade_jobs_answered_total{state="failed"} 1                                             |
+      | jujubeglade_requests_refused_total{kind="bad_request"} 1                                      |
+      | jujubeglade_job_latency_ms_count{class="urgent",tenant="workshop"} 1.0                        |
+      | jujubeglade_workers 2                                                                         |
+      | jujubeglade_configuration_revision 1                                                          |
+    And the metrics of the worker show
+      | line                                 |
+      | jujubeglade_queue_length 0           |
+      | jujubeglade_tasks_running 0          |
+      | jujubeglade_journal_records_lost 0   |
+      | jujubeglade_configuration_revision 1 |
+    And the log of the site holds
+      | event                                                     |
+      | event="store answers"                                     |
+      | event="permits granted"                                   |
+      | event="worker joined" worker=worker-1                     |
+      | event="starts permitted"                                  |
+      | event="job failed" job=KEY tenant=workshop                |
+      | event="command run"                                       |
+      | event="configuration applied" revision=1                  |
+    And the log of the site holds nothing of its tasks
--- a/packages/bench/src/jujubeglade/bench/loopback.py
+++ b/packages/bench/src/jujubeglade/bench/loopback.py
@@ -86,6 +86,7 @@
             "rack": f"rack-of-{name}",
             "cluster_key": CLUSTER_KEY,
             "http": f"{_HOST}:0",
+            "metrics": f"{_HOST}:0",
             "entries": streams,
         }
 
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -75,7 +75,7 @@
         self._runner = None
         self._status = status.Status(self)
         self._status_runners = []
-        self._refused = None
+        self._refused = contract.Reject.NO_PERMIT
         self._stream_port = settings.stream.port
         self._announce_port = settings.announce.port
 
--- a/packages/dispatch/src/jujubeglade/entry/_command_why.py
+++ b/packages/dispatch/src/jujubeglade/entry/_command_why.py
@@ -16,6 +16,8 @@
 from jujubeglade.entry import _times
 from jujubeglade.query import commands
 
+_WHOLE = "recorded"
+
 
 @registry.serves(commands.WhyJob)
 async def why_job(entry, order):
@@ -68,6 +70,9 @@
         journal.explain, records, subject, entry.cluster_key, index
     )
     doubts.extend(f"not recorded; no answer from {name}" for name in silent)
+    if doubts:
+        # What is in doubt can't be called recorded, nor absent.
+        story = [line for line in story if not line.startswith(_WHOLE)]
     told = (*lines, *story, *doubts)
     return result.Ok(registry.Reply(told, revision=entry.latest.revision))
 
