Verify the records of a real entry, and name damaged segments

GET /v1/audit names segments that can't be read in the header Jujubeglade-Damaged; the command line shows them as findings and exits with 1.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -184,3 +184,13 @@
       | event="command run"                                       |
       | event="configuration applied" revision=1                  |
     And the log of the site holds nothing of its tasks
+
+  Scenario: The command line verifies what a real entry holds, and names damage
+    Given a site of 1 entry and 2 workers
+    And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
+    Then the answer to "why job <a-key>" comes to hold: recorded
+    And the site's audit is verified by the command line with status 0
+    When a segment of the site's audit is overwritten
+    Then the site's audit is verified by the command line with status 1
+    And the command line says "the segment can't be read"
+    And the site answers duty GET /v1/audit?limit=9999999 with 400 and {"place": "limit"}
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -4,12 +4,15 @@
 import io
 import json
 import re
+import tempfile
 
 import aiohttp
 from behave import given, then, when
+from typer import testing
 
 from jujubeglade.bench import loopback
 from jujubeglade.core import log, ticket
+from jujubeglade.tools import main
 
 _WAIT_S = 60
 _SETTLE_S = 25
@@ -242,3 +245,46 @@
     for session in sessions:
         await session.close()
     assert statuses == [200] * count + [503], statuses
+
+
+def verify(context):
+    mapping = {
+        "role": "agent",
+        "name": "auditor",
+        "zone": "north",
+        "rack": "r1",
+        "cluster_key": loopback.CLUSTER_KEY,
+        "stream": "127.0.0.1:0",
+        "http": "127.0.0.1:0",
+        "announce": "127.0.0.1:0",
+        "entries": {"entry-1": "127.0.0.1:1"},
+    }
+    with tempfile.NamedTemporaryFile("w", suffix=".json5") as file:
+        json.dump(mapping, file)
+        file.flush()
+        url = context.site.entry_urls[0]
+        words = ["--entry", url, "--token", loopback.OPERATOR_TOKENS["duty"]]
+        words.extend(["audit", "verify", "--settings", file.name])
+        return testing.CliRunner().invoke(main.app, words)
+
+
+@then("the site's audit is verified by the command line with status {status:d}")
+def step_verify_site(context, status):
+    context.ran = run(context, asyncio.to_thread(verify, context))
+    assert context.ran.exit_code == status, context.ran.output
+
+
+@then('the command line says "{text}"')
+def step_said(context, text):
+    assert text in context.ran.output, context.ran.output
+
+
+@when("a segment of the site's audit is overwritten")
+def step_overwrite(context):
+    run(context, overwrite(context.site.entries[0].store))
+
+
+async def overwrite(held):
+    (segment, *_) = (await held.get_prefix("jujubeglade/records/")).unwrap()
+    written = await held.compare_and_swap(segment.key, b"x", segment.mod_revision)
+    written.unwrap()
--- a/packages/tools/src/jujubeglade/tools/_answers.py
+++ b/packages/tools/src/jujubeglade/tools/_answers.py
@@ -11,6 +11,8 @@
 
 from jujubeglade.core import problem
 
+_DAMAGED_HEADER = "Jujubeglade-Damaged"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskAnswer:
@@ -61,6 +63,37 @@
     lines: tuple
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditAnswer:
+    """The audit records that the store holds.
+
+    Attributes:
+      records: Bytes for `journal.unpack`.
+      damaged: A tuple of strings, a line for each segment that can't be read.
+    """
+
+    records: bytes
+    damaged: tuple
+
+
+def read_audit(response):
+    """Read the answer to a request for audit records.
+
+    Args:
+      response: A Response.
+
+    Returns:
+      An AuditAnswer.
+    """
+    header = response.headers.get(_DAMAGED_HEADER, "[]")
+    try:
+        damaged = tuple(_typed(line, str) for line in json.loads(header))
+    except (ValueError, TypeError):
+        # Which ones can't be told, but that there are some can.
+        damaged = ("segments that the entry could not name",)
+    return AuditAnswer(response.body, damaged)
+
+
 def read_tickets(value):
     """Read the answer to a request for tickets.
 
--- a/packages/tools/src/jujubeglade/tools/_transport.py
+++ b/packages/tools/src/jujubeglade/tools/_transport.py
@@ -45,6 +45,19 @@
     wait_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """What an entry answered.
+
+    Attributes:
+      body: Bytes.
+      headers: A mapping from names to strings, in any case.
+    """
+
+    body: bytes
+    headers: object
+
+
 class Transport:
     """Sends requests to the first of its entries that answers."""
 
@@ -68,7 +81,7 @@
           request: A Request.
 
         Returns:
-          A Result of the answer's bytes, or of a Problem.
+          A Result of a Response, or of a Problem.
         """
         unknown = False
         for attempt in range(_ROUNDS * len(self._entries)):
@@ -106,7 +119,7 @@
             return _lost(entry, error, problem.Outcome.UNKNOWN)
         if response.status >= _FIRST_ERROR_STATUS:
             return result.Err(_answers.read_refusal(response.status, body))
-        return result.Ok(body)
+        return result.Ok(Response(body, response.headers))
 
 
 def _lost(entry, error, outcome):
--- a/packages/tools/src/jujubeglade/tools/checks.py
+++ b/packages/tools/src/jujubeglade/tools/checks.py
@@ -5,6 +5,7 @@
 
 # A journal that its process still writes has no end yet; that is no fault.
 _OPEN_TAIL = "tail"
+_DAMAGED = "damaged"
 
 
 def check_settings(paths, report):
@@ -45,14 +46,17 @@
     answer = await operator.audit()
     if answer.is_err():
         return report.refusal(answer.err())
-    records = journal.unpack(answer.ok())
+    damaged = answer.ok().damaged
+    records = journal.unpack(answer.ok().records)
     if records.is_err():
         return report.refusal(records.err())
-    if not records.ok():
+    if not records.ok() and not damaged:
         report.note("there are no records to verify")
         return reports.Exit.REFUSED
     findings = journal.verify(records.ok(), key)
-    report.rows(("finding", "detail"), [(each.kind, str(each)) for each in findings])
+    rows = [(each.kind, str(each)) for each in findings]
+    rows.extend((_DAMAGED, line) for line in damaged)
+    report.rows(("finding", "detail"), rows)
     report.note(f"{len(records.ok())} records verified")
-    whole = all(each.kind == _OPEN_TAIL for each in findings)
+    whole = not damaged and all(each.kind == _OPEN_TAIL for each in findings)
     return reports.Exit.DONE if whole else reports.Exit.REFUSED
--- a/packages/tools/src/jujubeglade/tools/client.py
+++ b/packages/tools/src/jujubeglade/tools/client.py
@@ -18,6 +18,7 @@
 from jujubeglade.core import clock
 from jujubeglade.tools import _answers, _transport
 
+AuditAnswer = _answers.AuditAnswer
 CommandAnswer = _answers.CommandAnswer
 JobAnswer = _answers.JobAnswer
 TaskAnswer = _answers.TaskAnswer
@@ -123,19 +124,20 @@
         return await self._ask(request, _answers.read_command)
 
     async def audit(self):
-        """Fetch the audit records that the entries have gathered.
+        """Fetch the audit records that the store holds.
 
         Returns:
-          A Result of bytes for `journal.unpack`, or of a Problem.
+          A Result of an AuditAnswer, or of a Problem.
         """
-        return await self._transport.send(_transport.Request("GET", "/v1/audit"))
+        answer = await self._transport.send(_transport.Request("GET", "/v1/audit"))
+        return answer.map(_answers.read_audit)
 
     async def _ask(self, request, read):
         """Send a request and read its answer."""
         answer = await self._transport.send(request)
         if answer.is_err():
             return answer
-        return _answers.read_body(answer.ok(), read)
+        return _answers.read_body(answer.ok().body, read)
 
 
 @contextlib.asynccontextmanager
