--- a/packages/core/src/jujubeglade/core/_journal_record.py
+++ b/packages/core/src/jujubeglade/core/_journal_record.py
@@ -41,6 +41,8 @@
     CLAIMED = "claimed"
     # The executor raised the job's fence and refuses older generations.
     FENCED = "fenced"
+    # The owner gave the job up, since a later generation owns it.
+    MOVED = "moved"
     # The executor closed the job: nothing of it starts here any more.
     CLOSED = "closed"
     # A zone or worker (the subject) was taken out of service.
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -485,6 +485,7 @@
             task_id = job.TaskId(known.key, index, attempt)
             promised = ExecutedAttempt(task_id, None, _NEVER)
             known.attempts[(index, attempt)] = promised
+            self._attempts.note(audit.Kind.REJECTED, known.key, index, attempt)
 
     def _raise_fence(self, known, generation):
         former = known.owner
@@ -495,11 +496,13 @@
             former.send(contract.Fenced(known.key, generation))
 
     def _drop_queued(self, known):
-        for attempt in known.attempts.values():
+        """Promise never to start what has not begun."""
+        for (index, number), attempt in known.attempts.items():
             if attempt.state == _QUEUED:
                 attempt.state = _NEVER
-                known.taken.discard(attempt.task_id.index)
+                known.taken.discard(index)
                 self._queued -= 1
+                self._attempts.note(audit.Kind.REJECTED, known.key, index, number)
 
     def _claimed(self, known):
         reports = tuple(attempt.report() for attempt in known.attempts.values())
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -422,7 +422,7 @@
         if known.answer is not None or known.moved_to is not None:
             return
         known.moved_to = generation
-        self._journal.record(audit.Kind.FENCED, known.key, generation=generation)
+        self._journal.record(audit.Kind.MOVED, known.key, generation=generation)
         self._release_all(known)
         self._finish(known)
 
