Prove that a lone restarted entry does not vouch for itself

Cause: of 29 faults put one at a time into a scratch copy of this tree, the guard for a lone entry in Voter.heard was the one that no scenario found. Before: that fault passes all. After: it fails the scenario of the lone entry.

--- a/features/permits.feature
+++ b/features/permits.feature
@@ -131,6 +131,7 @@
     And the permit entry A reads the store at revision 4
     Then the permit entries A agree
     When the permit entry A restarts
+    And the permit entry A has heard from all of no others
     Then the permit entry A does not agree
 
   Scenario Outline: With five entries three are a majority
--- a/features/steps/permits_steps.py
+++ b/features/steps/permits_steps.py
@@ -186,6 +186,11 @@
     return permit.remaining_ms > 0 and entry.acceptance.stage(_DRAIN) == "accepted"
 
 
+@when("the permit entry {name} has heard from all of no others")
+def step_heard_nobody(context, name):
+    context.cluster.entries[name].voter.heard([])
+
+
 @then('the drain is "{stage}" at {name}')
 def step_stage(context, stage, name):
     found = context.cluster.entries[name].acceptance.stage(_DRAIN)
