Apply the operators' limits at the workers, and bound results

Cause: 'set limit' changed the document and no process read it; a result of an upstream was read whole whatever its length, though result_bytes says that a longer one fails its task. A class that does not exist was refused only after parsing.

Conclusion: operators.feature shows a result beyond the limit failing its job, language.feature the class.

--- a/features/language.feature
+++ b/features/language.feature
@@ -82,6 +82,12 @@
                   ^
       did you mean max_jobs? the limits are max_tasks_per_job, max_payload_bytes, result_bytes, max_jobs, max_queue_tasks, max_connections, max_wait_ms, tickets_per_request, drain_grace_ms
 
+      > submit pass {} tenant a class urgnt
+      column 31: there is no class urgnt
+        submit pass {} tenant a class urgnt
+                                      ^
+      did you mean urgent? the classes are urgent, normal, batch
+
       > set rule placement two
       column 20: there is no placement choice two
         set rule placement two
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -149,6 +149,18 @@
       done
       """
 
+  Scenario: A limit that operators set is in force at the workers
+    Given a site of 1 entry and 2 workers
+    Then the site's operator runs "set limit result_bytes 100"
+      """
+      applied: set limit result_bytes 100
+      in_force
+      """
+    Given a ticket <s> of the site
+    And a ticket <l> of the site
+    Then the site answers workshop POST /v1/jobs {"id": "<s>", "wait_ms": 5000, "tasks": [{"service": "parts", "payload": {"ms": 1, "value": 7}}]} with 200 and {"state": "complete"}
+    And the site answers workshop POST /v1/jobs {"id": "<l>", "wait_ms": 5000, "tasks": [{"service": "parts", "payload": {"ms": 1, "value": "1234567890123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890"}}]} with 200 and {"state": "failed", "reason": "task 0: the result is longer than result_bytes"}
+
   Scenario: Metrics and logs show what an operator cares for
     Given a site of 1 entry and 2 workers
     And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -27,6 +27,7 @@
     problem,
     ticket,
 )
+from jujubeglade.core import settings as settings_
 
 _TICK_MS = 1000
 _LAST_RECORDS_MS = 100
@@ -45,6 +46,7 @@
           wall: A Clock.
         """
         self.settings = settings
+        self.limits = settings.limits
         self.clock = wall
         self.cluster_key = settings.cluster_key.encode("utf-8")
         incarnation = ticket.new_incarnation()
@@ -148,7 +150,7 @@
         self.executor.leaving = True
         self.home.leaving = True
         self.on_upstreams_changed()
-        grace = clock.seconds(self.settings.limits.drain_grace_ms)
+        grace = clock.seconds(self.limits.drain_grace_ms)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace):
                 while not (self.executor.is_idle and self.home.is_idle):
@@ -249,6 +251,10 @@
         self.journal.record(
             journal.Kind.CONFIGURATION, "configuration", revision=self.permits.revision
         )
+        chosen = self.permits.document.get("limits", {})
+        self.limits = settings_.limits_in_force(self.settings.limits, chosen)
+        self.executor.use_limits(self.limits)
+        self.home.use_limits(self.limits)
         self.executor.pump()
         self.home.pump()
 
--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -39,7 +39,9 @@
             return _error(400, str(parsed.err_value))
         lease = secrets.token_hex(_LEASE_BYTES)
         now_ms = self._agent.clock.now_ms()
-        announced = upstream.open_upstream(lease, parsed.ok_value, now_ms)
+        announced = upstream.open_upstream(
+            lease, parsed.ok_value, now_ms, lambda: self._agent.limits.result_bytes
+        )
         self._agent.executor.add_upstream(announced)
         self._agent.on_upstreams_changed()
         renew_ms = announced.announcement.lease_ms // 3
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -171,6 +171,14 @@
         serving = self._serving_upstreams()
         return tuple(sorted({up.announcement.service for up in serving}))
 
+    def use_limits(self, limits):
+        """Go on under other limits.
+
+        Args:
+          limits: The Limits in force.
+        """
+        self._limits = limits
+
     def load(self):
         """Measure how busy this executor is.
 
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -113,6 +113,14 @@
         """Return the owned jobs, by key."""
         return self._jobs
 
+    def use_limits(self, limits):
+        """Go on under other limits.
+
+        Args:
+          limits: The Limits in force.
+        """
+        self._limits = limits
+
     async def submit(self, submit):
         """Take a submission and answer it.
 
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -74,6 +74,7 @@
 
     __slots__ = (
         "_expires_ms",
+        "_result_bytes",
         "_session",
         "announcement",
         "lease",
@@ -81,7 +82,7 @@
         "running",
     )
 
-    def __init__(self, lease, announcement, expires_ms, session):
+    def __init__(self, lease, announcement, expires_ms, session, result_bytes):
         """Take over an announcement.
 
         Args:
@@ -89,6 +90,7 @@
           announcement: An Announcement.
           expires_ms: A number, the monotonic time at which the lease ends.
           session: An aiohttp.ClientSession for its calls.
+          result_bytes: A function to an integer, the largest result that is read.
         """
         self.lease = lease
         self.announcement = announcement
@@ -96,6 +98,7 @@
         self.running = 0
         self._expires_ms = expires_ms
         self._session = session
+        self._result_bytes = result_bytes
 
     @property
     def has_free_slot(self):
@@ -138,7 +141,8 @@
         url = self._url(task_id)
         try:
             async with self._session.post(url, data=payload, headers=headers) as reply:
-                return _ended(reply, await reply.read())
+                body = await self._read(reply)
+                return _too_long(reply) if body is None else _ended(reply, body)
         except aiohttp.ClientConnectorError as error:
             return _never(contract.Reject.UNREACHABLE, str(error).encode())
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -163,17 +167,32 @@
         """Close the connections to this upstream."""
         await self._session.close()
 
+    async def _read(self, reply):
+        """Read a body within the bound; None for a longer one, which is cut off."""
+        most = self._result_bytes()
+        chunks = []
+        size = 0
+        async for chunk in reply.content.iter_any():
+            size += len(chunk)
+            if size > most:
+                reply.close()
+                return None
+            chunks.append(chunk)
+        return b"".join(chunks)
+
     def _url(self, task_id):
         return f"{self.announcement.address}/tasks/{task_id}"
 
 
-def open_upstream(lease, announcement, now_ms):
+def open_upstream(lease, announcement, now_ms, result_bytes):
     """Make the object of a fresh announcement.
 
     Args:
       lease: A string, the name of the lease.
       announcement: An Announcement.
       now_ms: A number, the monotonic time.
+      result_bytes: A function to an integer, the largest result that is read; it is
+        called for each result, as operators may change the limit.
 
     Returns:
       An Upstream.
@@ -183,7 +202,8 @@
         total=None, sock_connect=clock.seconds(CONNECT_TIMEOUT_MS)
     )
     session = aiohttp.ClientSession(connector=connector, timeout=timeout)
-    return Upstream(lease, announcement, now_ms + announcement.lease_ms, session)
+    expires_ms = now_ms + announcement.lease_ms
+    return Upstream(lease, announcement, expires_ms, session, result_bytes)
 
 
 def parse_announcement(fields):
@@ -220,6 +240,13 @@
     return Ended(contract.Verdict.FAILED, f"{reply.status}: {text}".encode())
 
 
+def _too_long(reply):
+    """End an attempt whose answer was too long to read: it ran, and it failed."""
+    if reply.status in (_STATUS_TOO_LATE, _STATUS_THROTTLED):
+        return _ended(reply, b"")
+    return Ended(contract.Verdict.FAILED, b"the result is longer than result_bytes")
+
+
 def _never(reason, body, retry_after_ms=0):
     return Ended(None, body, reason, retry_after_ms)
 
--- a/packages/dispatch/src/jujubeglade/query/_builder.py
+++ b/packages/dispatch/src/jujubeglade/query/_builder.py
@@ -12,7 +12,7 @@
 
 import lark
 
-from jujubeglade.core import clock, rules, settings
+from jujubeglade.core import clock, job, rules, settings
 from jujubeglade.query import commands
 
 _MAX_TASKS = settings.limit_range("max_tasks_per_job")[1]
@@ -106,7 +106,8 @@
         return str(token)
     near = difflib.get_close_matches(token, names, 1)
     hint = f"did you mean {near[0]}? " if near else ""
-    remedy = f"{hint}the {what}s are {', '.join(names)}"
+    plural = f"{what}es" if what.endswith("s") else f"{what}s"
+    remedy = f"{hint}the {plural} are {', '.join(names)}"
     raise WrongWordError(token, f"there is no {what} {token[:40]}", remedy)
 
 
@@ -136,6 +137,13 @@
     raise WrongWordError(token, cause, "write it as a string")
 
 
+def _class(token):
+    """Read the class of a job; None stands for the default."""
+    if token is None:
+        return ""
+    return _known(token, tuple(str(each) for each in job.Urgency), "class")
+
+
 @lark.v_args(inline=True)
 class Builder(lark.Transformer):
     """Builds the record of a command."""
@@ -150,7 +158,7 @@
             payload,
             1 if count is None else whole(count, 1, _MAX_TASKS),
             str(tenant),
-            _text(task_class),
+            _class(task_class),
             0 if deadline is None else duration_ms(deadline, 1, _MAX_DEADLINE_MS),
             again is not None,
         )
