Keep operators served when clients fill the bound of requests

Cause: operators' commands counted among the clients' requests, so a full entry refused the very command that would relieve it. They have a bound of their own. A body that does not come in 10 s is refused; operators may read and cancel any job through the clients' interface.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -48,6 +48,7 @@
     And the site answers hotel GET /v1/jobs/<j> with 404 and {"kind": "unknown_job", "outcome": "unknown"}
     And the site answers hotel DELETE /v1/jobs/<j> with 404 and {"kind": "unknown_job"}
     And the site answers hotel POST /v1/jobs {"id": "<j>", "tasks": [{"service": "parts"}]} with 404 and {"kind": "unknown_job"}
+    And the site answers duty GET /v1/jobs/<j> with 200 and {"state": "complete"}
     And the site answers workshop POST /v1/jobs {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000} with 200 and {"state": "complete"}
     And 2 tasks were started at the site
 
@@ -65,3 +66,21 @@
       """
     # The operator's own connection is the third.
     And 2 connections are served by the site and one more is refused
+
+  Scenario: Requests in progress beyond the bound are refused, and operators are served
+    Given a site of 1 entry and 2 workers
+    Then the site's operator runs "set limit max_jobs 1"
+      """
+      applied: set limit max_jobs 1
+      in_force
+      """
+    Given a ticket <w> of the site
+    And a client of the site waits for {"id": "<w>", "wait_ms": 9000, "tasks": [{"service": "parts", "payload": {"ms": 9000}}]}
+    Then the site answers workshop GET /v1/jobs/<w> with 429 and {"kind": "overloaded", "outcome": "request_not_run"}
+    And the site's operator runs "cancel job <w>"
+      """
+      job <w-key> failed: cancelled: command KEY of duty
+      tasks: 1 may_have_run
+      done
+      """
+    And the waiting client of the site is answered "failed"
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -110,6 +110,24 @@
     run(context, ask(context, "workshop", f"POST /v1/jobs {text}"))
 
 
+@given("a client of the site waits for {body}")
+def step_wait(context, body):
+    run(context, begin_waiting(context, body))
+
+
+async def begin_waiting(context, body):
+    asked = ask(context, "workshop", f"POST /v1/jobs {body}")
+    context.waiting = asyncio.create_task(asked)
+    while not any(each.started for each in context.site.upstreams):
+        await asyncio.sleep(_POLL_S)
+
+
+@then('the waiting client of the site is answered "{state}"')
+def step_waited(context, state):
+    _, _, body = run(context, context.waiting)
+    assert json.loads(body)["state"] == state, body
+
+
 @then("the site answers")
 def step_answers(context):
     found = []
--- a/packages/dispatch/src/jujubeglade/entry/callers.py
+++ b/packages/dispatch/src/jujubeglade/entry/callers.py
@@ -1,16 +1,18 @@
 """The HTTP interface of the clients; docs/DESIGN.md, "Interfaces"."""
 
+import asyncio
 import dataclasses
 import json
 
 import result
 from aiohttp import web
 
-from jujubeglade.core import job, metrics, ticket
+from jujubeglade.core import clock, job, metrics, ticket
 from jujubeglade.entry import intake, refusals, tokens
 
 _STATUS_RUNNING = 202
 _MAX_DIGITS = 9
+_BODY_MS = 10_000
 
 
 class Callers:
@@ -25,6 +27,7 @@
         self._entry = entry
         self._refusals = entry.refusals
         self._tokens = tokens.Tokens(entry.settings.caller_tokens)
+        self._operators = tokens.Tokens(entry.settings.operator_tokens)
 
     def add_routes(self, app):
         """Add the clients' routes to an application.
@@ -78,31 +81,43 @@
 
     async def status(self, request):
         """Answer for a job."""
-        tenant = self._tokens.name_of(request)
-        if tenant is None:
+        name, tenant = self._asker(request)
+        if name is None:
             return self._refusals.unauthorized()
         held = ticket.parse(self._entry.cluster_key, request.match_info["id"])
         if held.is_err():
-            return self._refusals.refuse(held.err_value, by=tenant)
+            return self._refusals.refuse(held.err_value, by=name)
         wait_ms = _read_wait(request.query.get("wait_ms", "0"))
         most = self._entry.limits.max_wait_ms
         if wait_ms is None or wait_ms > most:
             bad = refusals.bad_request("wait_ms", f"give 0 to {most}")
-            return self._refusals.refuse(bad, by=tenant)
+            return self._refusals.refuse(bad, by=name)
         answered = await self._entry.router.query(held.ok_value, tenant, wait_ms)
-        return self._respond(held.ok_value, answered, tenant)
+        return self._respond(held.ok_value, answered, name)
 
     async def cancel(self, request):
         """Cancel a job."""
-        tenant = self._tokens.name_of(request)
-        if tenant is None:
+        name, tenant = self._asker(request)
+        if name is None:
             return self._refusals.unauthorized()
         held = ticket.parse(self._entry.cluster_key, request.match_info["id"])
         if held.is_err():
-            return self._refusals.refuse(held.err_value, by=tenant)
-        reason = f"by client of {tenant}"
+            return self._refusals.refuse(held.err_value, by=name)
+        reason = f"by client of {name}" if tenant else f"by operator {name}"
         answered = await self._entry.router.cancel(held.ok_value, tenant, reason)
-        return self._respond(held.ok_value, answered, tenant)
+        return self._respond(held.ok_value, answered, name)
+
+    def _asker(self, request):
+        """Find who asks for a job, and the tenant whose job it must be.
+
+        Returns:
+          A pair of strings: the name, None for nobody; the tenant, empty for an
+          operator, who may ask for all jobs.
+        """
+        tenant = self._tokens.name_of(request)
+        if tenant is not None:
+            return tenant, tenant
+        return self._operators.name_of(request), ""
 
     def _ticket(self, submission):
         """Read the ticket of a submission, or issue one for a client without."""
@@ -143,8 +158,15 @@
 
     Returns:
       A value decoded from JSON, or None when it is none.
+
+    Raises:
+      HTTPRequestTimeout: The body did not come in time.
     """
-    body = await request.read()
+    try:
+        async with asyncio.timeout(clock.seconds(_BODY_MS)):
+            body = await request.read()
+    except TimeoutError:
+        raise web.HTTPRequestTimeout from None
     try:
         return json.loads(body, parse_constant=_refuse_constant)
     except (ValueError, RecursionError):
--- a/packages/dispatch/src/jujubeglade/entry/http_server.py
+++ b/packages/dispatch/src/jujubeglade/entry/http_server.py
@@ -5,6 +5,8 @@
 | `max_connections` open connections    | 503 at once, and closed              |
 | `max_body_bytes` in a body            | 413                                  |
 | `max_jobs` requests in progress       | 429                                  |
+| 64 requests of operators in progress  | 429; they have a bound of their own, |
+|                                       | so that clients can't shut them out  |
 | an entry that leaves                  | 503 `shutting_down`, nothing started |
 
 All refusals are JSON, also those of the HTTP library.
@@ -22,6 +24,9 @@
 _ENTITY_TOO_LARGE = 413
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
+_REQUEST_TIMEOUT = 408
+_MAX_OPERATORS_REQUESTS = 64
+_OPERATORS_PATHS = ("/v1/commands", "/v1/audit")
 
 _log = log.get(__name__)
 
@@ -96,7 +101,7 @@
 class Gate:
     """Counts the requests in progress and refuses what is beyond the bounds."""
 
-    __slots__ = ("_max_requests", "_refusals", "in_progress", "leaving")
+    __slots__ = ("_in_progress", "_max_requests", "_refusals", "leaving")
 
     def __init__(self, refusing, max_requests):
         """Open the gate.
@@ -107,9 +112,14 @@
         """
         self._refusals = refusing
         self._max_requests = max_requests
-        self.in_progress = 0
+        self._in_progress = {False: 0, True: 0}
         self.leaving = False
 
+    @property
+    def in_progress(self):
+        """How many requests are in progress."""
+        return sum(self._in_progress.values())
+
     def middleware(self):
         """Make the middleware of an application.
 
@@ -121,14 +131,15 @@
         async def serve(request, handler):
             if not request.path.startswith("/v1/"):
                 return await handler(request)
-            refused = self._refusal()
+            by_operator = request.path in _OPERATORS_PATHS
+            refused = self._refusal(by_operator)
             if refused is not None:
                 return self._refusals.refuse(refused)
-            self.in_progress += 1
+            self._in_progress[by_operator] += 1
             try:
                 return await self._serve(request, handler)
             finally:
-                self.in_progress -= 1
+                self._in_progress[by_operator] -= 1
 
         return serve
 
@@ -142,7 +153,8 @@
             _log.exception("request failed", method=request.method, path=request.path)
             return self._refusals.refuse(_internal())
 
-    def _refusal(self):
+    def _refusal(self, by_operator):
+        most = _MAX_OPERATORS_REQUESTS if by_operator else self._max_requests()
         if self.leaving:
             return problem.Problem(
                 kind=problem.Kind.SHUTTING_DOWN,
@@ -150,7 +162,7 @@
                 remedy="ask another entry",
                 retry_after_ms=_RETRY_AFTER_MS,
             )
-        if self.in_progress >= self._max_requests():
+        if self._in_progress[by_operator] >= most:
             return problem.Problem(
                 kind=problem.Kind.OVERLOADED,
                 message="the entry serves as many requests as it may",
@@ -165,6 +177,7 @@
     kinds = {
         _ENTITY_TOO_LARGE: (problem.Kind.TOO_LARGE, "send a smaller body"),
         _NOT_FOUND: (problem.Kind.BAD_REQUEST, "use a path of docs/DESIGN.md"),
+        _REQUEST_TIMEOUT: (problem.Kind.BAD_REQUEST, "send the body at once"),
         _METHOD_NOT_ALLOWED: (problem.Kind.BAD_REQUEST, "use another method"),
     }
     kind, remedy = kinds.get(
