--- a/features/operators.feature
+++ b/features/operators.feature
@@ -125,6 +125,8 @@
     When entry 2 is told "restore zone south if revision 0" as command c-2
     Then the operator reads {"status": "lost", "kind": "conflict", "message": "command c-1 changed zone south first, at revision 1"}
     And the operator reads {"remedy": "nothing was changed; look, and if you still want it send it with a new id"}
+    When entries 1 and 2 are told "drain zone west if revision 1" and "restore zone west if revision 1" at once
+    Then one of them is done, or both agree on who came first
     When entry 1 is told "restore zone south if revision 0" as command c-2
     Then the operator reads {"status": "lost", "message": "command c-1 changed zone south first, at revision 1"}
 
@@ -200,7 +202,7 @@
   Scenario: The command line verifies what a real entry holds, and names damage
     Given a site of 1 entry and 2 workers
     And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
-    Then the answer to "why job <a-key>" comes to hold: recorded
+    Then the site's audit comes to hold the answer of <a-key>
     And the site's audit is verified by the command line with status 0
     When a segment of the site's audit is overwritten
     Then the site's audit is verified by the command line with status 1
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -11,7 +11,7 @@
 from typer import testing
 
 from jujubeglade.bench import loopback
-from jujubeglade.core import log, ticket
+from jujubeglade.core import journal, log, ticket
 from jujubeglade.tools import main
 
 _WAIT_S = 60
@@ -183,6 +183,28 @@
     context.named[name] = new_id(context)
 
 
+@when('entries 1 and 2 are told "{first}" and "{second}" at once')
+def step_race(context, first, second):
+    run(context, race(context, first, second))
+
+
+async def race(context, first, second):
+    context.raced = await asyncio.gather(
+        command(context, "r-1", first, entry=0),
+        command(context, "r-2", second, entry=1),
+    )
+
+
+@then("one of them is done, or both agree on who came first")
+def step_raced(context):
+    # A restore that came first changes nothing, and the drain after it is applied.
+    drained, restored = context.raced
+    assert drained["status"] == "in_force", drained
+    lost = restored["status"] == "lost" and "command r-1" in restored["message"]
+    unchanged = restored.get("lines") == ["unchanged: restore zone west if revision 1"]
+    assert lost or unchanged, restored
+
+
 @then("the operator reads {expected}")
 def step_reads(context, expected):
     wanted = json.loads(fill(context, expected))
@@ -306,3 +328,19 @@
     (segment, *_) = (await held.get_prefix("jujubeglade/records/")).unwrap()
     written = await held.compare_and_swap(segment.key, b"x", segment.mod_revision)
     written.unwrap()
+
+
+@then("the site's audit comes to hold the answer of {name}")
+def step_held(context, name):
+    run(context, until_held(context, fill(context, name)))
+
+
+async def until_held(context, key):
+    found = ()
+    while not any(
+        (record.kind, record.subject) == (journal.Kind.ANSWERED, key)
+        for record in found
+    ):
+        await asyncio.sleep(_POLL_S)
+        _, _, body = await ask(context, "duty", "GET /v1/audit")
+        found = journal.unpack(body).unwrap()
