--- a/features/model.feature
+++ b/features/model.feature
@@ -23,6 +23,10 @@
       | commands      |
       | leave         |
 
+  Scenario: A task that may be repeated keeps every property
+    When the model checks a repeatable task
+    Then the model is exhaustive and every property holds
+
   Scenario: Permits go on while the store is down for all entries
     When the model checks the progress of "drain" in an outage
     Then the model is exhaustive and every property holds
@@ -42,6 +46,7 @@
       | ownership | the next attempt follows a timeout | at most one start | 7 |
       | ownership | the home places on itself | at most one start | 8 |
       | ownership | not_run without a close | not_run is true | 9 |
+      | ownership | a claim's answer keeps a failed attempt silent | not_run is true | 11 |
       | ownership | a closed candidate starts or keeps silent | not_run is true | 10 |
 
     Examples: Drain
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -34,6 +34,13 @@
     context.outcome = check.progress(specification, bounds)
 
 
+@when("the model checks a repeatable task")
+def step_repeatable(context):
+    specification = _specification("ownership")
+    (bounds,) = [each for each in specification.bounds["full"] if each.repeatable]
+    context.outcome = check.safety(specification, bounds)
+
+
 @when('the model checks "{name}" where "{change}"')
 def step_mutated(context, name, change):
     specification = _specification(name)
