--- a/features/model.feature
+++ b/features/model.feature
@@ -13,6 +13,17 @@
       | commands      |
       | leave         |
 
+  Scenario Outline: The states of <specification> include its witnesses
+    When the model looks for the witnesses of "<specification>"
+    Then the model finds them all
+
+    Examples:
+      | specification |
+      | ownership     |
+      | drain         |
+      | commands      |
+      | leave         |
+
   Scenario Outline: <specification> can always still reach its goal
     When the model checks the progress of "<specification>"
     Then the model is exhaustive and every property holds
@@ -23,10 +34,6 @@
       | commands      |
       | leave         |
 
-  Scenario: A task that may be repeated keeps every property
-    When the model checks a repeatable task
-    Then the model is exhaustive and every property holds
-
   Scenario: Permits go on while the store is down for all entries
     When the model checks the progress of "drain" in an outage
     Then the model is exhaustive and every property holds
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -17,28 +17,35 @@
 @when('the model checks the small bounds of "{name}"')
 def step_small_bounds(context, name):
     specification = _specification(name)
-    (bounds,) = specification.bounds["small"]
-    context.outcome = check.safety(specification, bounds)
+    context.outcomes = [
+        check.safety(specification, bounds) for bounds in specification.bounds["small"]
+    ]
+
+
+@when('the model looks for the witnesses of "{name}"')
+def step_witnesses(context, name):
+    specification = _specification(name)
+    bounds = specification.bounds["small"][0]
+    context.unreached = check.unreached(specification, bounds)
+
+
+@then("the model finds them all")
+def step_all_reached(context):
+    assert context.unreached == (), context.unreached
 
 
 @when('the model checks the progress of "{name}"')
 def step_progress(context, name):
     specification = _specification(name)
-    context.outcome = check.progress(specification, specification.progress_bounds[0])
+    bounds = specification.progress_bounds[0]
+    context.outcomes = [check.progress(specification, bounds)]
 
 
 @when('the model checks the progress of "{name}" in an outage')
 def step_progress_in_outage(context, name):
     specification = _specification(name)
     (bounds,) = [each for each in specification.progress_bounds if each.outage]
-    context.outcome = check.progress(specification, bounds)
-
-
-@when("the model checks a repeatable task")
-def step_repeatable(context):
-    specification = _specification("ownership")
-    (bounds,) = [each for each in specification.bounds["full"] if each.repeatable]
-    context.outcome = check.safety(specification, bounds)
+    context.outcomes = [check.progress(specification, bounds)]
 
 
 @when('the model checks "{name}" where "{change}"')
@@ -49,18 +56,20 @@
         for each in spec.MUTATIONS
         if (each.specification, each.name) == (name, change)
     ]
-    context.outcome = check.mutated(specification, mutation)
+    context.outcomes = [check.mutated(specification, mutation)]
 
 
 @then("the model is exhaustive and every property holds")
 def step_holds(context):
-    assert context.outcome.exhaustive, context.outcome
-    assert not context.outcome.failures, context.outcome.failures
+    for outcome in context.outcomes:
+        assert outcome.exhaustive, outcome
+        assert not outcome.failures, outcome.failures
 
 
 @then('the model finds "{name}" broken in {steps:d} steps')
 def step_broken(context, name, steps):
-    found = context.outcome.failures
+    (outcome,) = context.outcomes
+    found = outcome.failures
     assert list(found) == [name], found
     assert len(found[name]) == steps, found
 
--- a/packages/bench/src/jujubeglade/model/__main__.py
+++ b/packages/bench/src/jujubeglade/model/__main__.py
@@ -23,6 +23,7 @@
     for specification in registry.specifications():
         print(f"== {specification.name}")
         unexpected += _check_safety(specification, size)
+        unexpected += _check_witnesses(specification)
         unexpected += _check_progress(specification)
         unexpected += _check_mutations(specification)
     print(f"{unexpected} unexpected")
@@ -38,6 +39,14 @@
     return unexpected
 
 
+def _check_witnesses(specification):
+    missing = check.unreached(specification, specification.bounds["small"][0])
+    for name in specification.witnesses:
+        verdict = "UNREACHED" if name in missing else "reached"
+        print(f"  {verdict} '{name}'")
+    return len(missing)
+
+
 def _check_progress(specification):
     unexpected = 0
     for bounds in specification.progress_bounds:
--- a/packages/bench/src/jujubeglade/model/_drain_records.py
+++ b/packages/bench/src/jujubeglade/model/_drain_records.py
@@ -1,6 +1,7 @@
 """The records of the specification `drain`, and the steps that change them."""
 
 import dataclasses
+import functools
 import typing
 
 
@@ -117,12 +118,18 @@
 
 def canonical(state):
     """Return a state's representative among those that differ by entries' order."""
-    order = sorted(range(ENTRIES), key=lambda index: _sort_key(state.entries[index]))
+    entries = _ordered(state.entries)
+    return state if entries is state.entries else state._replace(entries=entries)
+
+
+@functools.cache
+def _ordered(entries):
+    """Return entries in a fixed order, with their votes renumbered."""
+    order = sorted(range(ENTRIES), key=lambda index: _sort_key(entries[index]))
     if order == list(range(ENTRIES)):
-        return state
+        return entries
     place_of = {index: place for place, index in enumerate(order)}
-    entries = tuple(_renumber(state.entries[index], place_of) for index in order)
-    return state._replace(entries=entries)
+    return tuple(_renumber(entries[index], place_of) for index in order)
 
 
 def _sort_key(entry):
--- a/packages/bench/src/jujubeglade/model/check.py
+++ b/packages/bench/src/jujubeglade/model/check.py
@@ -34,22 +34,22 @@
     properties: tuple
 
 
-def safety(specification, bounds, rules=None, stop_at_first=False):
+def safety(specification, bounds, rules=None, stop_after=None):
     """Check the invariants of a specification.
 
     Args:
       specification: The Specification.
       bounds: One bounds record.
       rules: A changed rules record, or None for the specification's own.
-      stop_at_first: Whether to stop at the first broken invariant.
+      stop_after: The number of broken invariants at which to stop, or None.
 
     Returns:
       An Outcome.
     """
     setting = spec.Setting(rules or specification.rules, bounds)
     protocol = _protocol(specification, setting)
-    if stop_at_first:
-        protocol = _stopping(protocol)
+    if stop_after is not None:
+        protocol = _stopping(protocol, stop_after)
     began = time.perf_counter()
     verdict = minicheck.check_safety(protocol, spec.MAX_STATES)
     seconds = time.perf_counter() - began
@@ -60,13 +60,32 @@
     }
     return Outcome(
         verdict["reachable_states"],
-        verdict["exhaustive"] and not (stop_at_first and failures),
+        verdict["exhaustive"] and not (stop_after is not None and failures),
         seconds,
         failures,
         tuple(specification.invariants),
     )
 
 
+def unreached(specification, bounds):
+    """Look for the witnesses of a specification.
+
+    Args:
+      specification: The Specification.
+      bounds: One bounds record.
+
+    Returns:
+      A tuple of the names of witnesses that no state meets.
+    """
+    avoids = {
+        name: lambda fields, meets=meets: not meets(fields)
+        for name, meets in specification.witnesses.items()
+    }
+    inverted = dataclasses.replace(specification, invariants=avoids)
+    found = safety(inverted, bounds, stop_after=len(avoids)).failures
+    return tuple(name for name in avoids if name not in found)
+
+
 def progress(specification, bounds, rules=None):
     """Check that the goal stays reachable from every state.
 
@@ -117,8 +136,8 @@
     return state
 
 
-def _stopping(protocol):
-    """Return a copy of a protocol that expands no state after a broken invariant."""
+def _stopping(protocol, count):
+    """Return a copy of a protocol that ends once enough invariants are broken."""
     broken = []
 
     def watch(predicate):
@@ -131,7 +150,7 @@
         return check
 
     def transitions(state):
-        return () if broken else protocol.transitions(state)
+        return () if len(broken) >= count else protocol.transitions(state)
 
     invariants = {name: watch(test) for name, test in protocol.invariants.items()}
     return dataclasses.replace(protocol, transitions=transitions, invariants=invariants)
@@ -153,7 +172,7 @@
     """
     rules = mutation.change(specification.rules)
     bounds = mutation.bounds or specification.mutation_bounds
-    return safety(specification, bounds, rules, stop_at_first=True)
+    return safety(specification, bounds, rules, stop_after=1)
 
 
 def is_expected(mutation, outcome):
--- a/packages/bench/src/jujubeglade/model/commands.py
+++ b/packages/bench/src/jujubeglade/model/commands.py
@@ -252,6 +252,14 @@
             "refused is true": refused_is_true,
         },
         goal=settled,
+        witnesses={
+            "every command is accepted": lambda fields: all(
+                any(one.phase == ACCEPTED for one in tries) for tries in fields["tries"]
+            ),
+            "a try is refused": lambda fields: any(
+                one.phase == REFUSED for tries in fields["tries"] for one in tries
+            ),
+        },
     )
 )
 
--- a/packages/bench/src/jujubeglade/model/drain.py
+++ b/packages/bench/src/jujubeglade/model/drain.py
@@ -78,6 +78,14 @@
             "a revision never reverts": never_reverts,
         },
         goal=goes_on,
+        witnesses={
+            "the drain is in force": lambda fields: fields["in_force"],
+            "a freeze outlasts the permit": lambda fields: fields["agent"].flight == 0,
+            "an entry is back after a restart": lambda fields: (
+                fields["restarts"] > 0
+                and all(entry.counted for entry in fields["entries"])
+            ),
+        },
         canonical=records.canonical,
     )
 )
--- a/packages/bench/src/jujubeglade/model/leave.py
+++ b/packages/bench/src/jujubeglade/model/leave.py
@@ -188,6 +188,13 @@
             "no request is cut": nothing_cut,
         },
         goal=left,
+        witnesses={
+            "it ends some tasks and gives back others": lambda fields: (
+                fields["upstream"] == EXITED
+                and fields["finished"] > 0
+                and fields["refused"] > 0
+            ),
+        },
     )
 )
 
--- a/packages/bench/src/jujubeglade/model/ownership.py
+++ b/packages/bench/src/jujubeglade/model/ownership.py
@@ -78,7 +78,7 @@
         name="ownership",
         rules=Rules(),
         bounds={
-            "small": (_SMALL,),
+            "small": (_SMALL, _REPEATABLE),
             "full": (
                 Bounds(candidates=2, attempts=(2, 1), crashes=3),
                 Bounds(candidates=3, attempts=(1, 1), crashes=3),
@@ -88,7 +88,8 @@
         },
         mutation_bounds=_SMALL,
         progress_bounds=(
-            Bounds(candidates=2, attempts=(1, 1), crashes=2),
+            Bounds(candidates=2, attempts=(1, 1), crashes=1),
+            Bounds(candidates=2, attempts=(1, 1), crashes=3),
             Bounds(candidates=2, attempts=(1, 1), crashes=2, repeatable=True),
         ),
         actions=(*owners.ACTIONS, *executors.ACTIONS),
@@ -100,6 +101,21 @@
             "answers agree": answers_agree,
         },
         goal=answered,
+        witnesses={
+            "a successor starts the task": lambda fields: any(
+                attempt.generation == 1 for attempt in fields["begun"]
+            ),
+            "both owners answer": lambda fields: (
+                records.RAN in fields["answers"]
+                and all(owner.phase == records.OVER for owner in fields["owners"])
+            ),
+            "not_run after a crash": lambda fields: (
+                records.NOT_RUN in fields["answers"] and fields["crashes"] > 0
+            ),
+            "a second attempt runs": lambda fields: (
+                records.Attempt(0, 2) in fields["begun"]
+            ),
+        },
     )
 )
 
--- a/packages/bench/src/jujubeglade/model/spec.py
+++ b/packages/bench/src/jujubeglade/model/spec.py
@@ -61,6 +61,8 @@
       initial: A function of a setting that returns the first state.
       invariants: A dict of property names to predicates over a state's fields.
       goal: A predicate over a state's fields that progress must keep reachable.
+      witnesses: A dict of names to predicates, each of which some state must meet; they
+        show that the properties do not hold for want of behaviour.
       canonical: A function from a state to the one that stands for all states like it,
         or None.
     """
@@ -74,6 +76,7 @@
     initial: typing.Callable
     invariants: dict
     goal: typing.Callable
+    witnesses: dict
     canonical: typing.Callable | None = None
 
 
