--- a/features/model.feature
+++ b/features/model.feature
@@ -100,3 +100,6 @@
 
   Scenario: Every mutation is listed above
     Then the model's feature names every mutation and relaxation
+
+  Scenario: Every action names a module that carries it out
+    Then the model's actions name modules that exist
--- a/features/steps/model_steps.py
+++ b/features/steps/model_steps.py
@@ -1,5 +1,6 @@
 """Steps for the model checks."""
 
+import importlib.util
 import pathlib
 
 from behave import then, when
@@ -84,3 +85,13 @@
         if f"| {each.specification} | {each.name} |" not in text
     ]
     assert not missing, missing
+
+
+@then("the model's actions name modules that exist")
+def step_modules_exist(context):
+    missing = [
+        action
+        for action in registry.actions()
+        if importlib.util.find_spec(action[-1]) is None
+    ]
+    assert not missing, missing
--- a/packages/bench/src/jujubeglade/model/_drain_entries.py
+++ b/packages/bench/src/jujubeglade/model/_drain_entries.py
@@ -39,14 +39,14 @@
     return entry._replace(fresh=max(0, entry.fresh - 1), confirming=confirming)
 
 
-@_action("store_drain", "jujubeglade.entry.configuration")
+@_action("store_drain", "jujubeglade.entry.acceptance")
 def store_drain(setting, state):
     """The compare-and-swap of the drain takes effect in the store."""
     if state.stored == 0 and not state.outage:
         yield "store drain", state._replace(stored=1)
 
 
-@_action("confirm_begin", "jujubeglade.entry.confirmation")
+@_action("confirm_begin", "jujubeglade.entry.freshness")
 def confirm_begin(setting, state):
     """An entry begins to confirm its view."""
     for index, entry in enumerate(state.entries):
@@ -59,7 +59,7 @@
             )
 
 
-@_action("confirm_read", "jujubeglade.entry.confirmation")
+@_action("confirm_read", "jujubeglade.entry.freshness")
 def confirm_read(setting, state):
     """An entry reads the store, which confirms its view."""
     if state.outage:
@@ -73,7 +73,7 @@
             )
 
 
-@_action("confirm_vote", "jujubeglade.entry.confirmation")
+@_action("confirm_vote", "jujubeglade.entry.freshness")
 def confirm_vote(setting, state):
     """Another entry answers a confirmation with its revision."""
     for index, entry in enumerate(state.entries):
@@ -127,7 +127,7 @@
     )
 
 
-@_action("confirm_end", "jujubeglade.entry.confirmation")
+@_action("confirm_end", "jujubeglade.entry.freshness")
 def confirm_end(setting, state):
     """An entry that counts its view from the answer receives a delayed one."""
     for index, entry in enumerate(state.entries):
@@ -136,7 +136,7 @@
             yield f"e{index} ends", records.with_entry(state, index, confirmed)
 
 
-@_action("collect", "jujubeglade.entry.configuration")
+@_action("collect", "jujubeglade.entry.acceptance")
 def collect(setting, state):
     """An entry that applied the change becomes its writer and acknowledges it."""
     if any(entry.writer for entry in state.entries):
@@ -147,7 +147,7 @@
             yield f"e{index} is the writer", records.with_entry(state, index, following)
 
 
-@_action("acknowledge", "jujubeglade.entry.configuration")
+@_action("acknowledge", "jujubeglade.entry.acceptance")
 def acknowledge(setting, state):
     """An entry applies the change that the writer sent and acknowledges it."""
     collecting = any(entry.writer for entry in state.entries)
@@ -159,7 +159,7 @@
             yield f"e{index} acknowledges", records.with_entry(state, index, following)
 
 
-@_action("accept", "jujubeglade.entry.configuration")
+@_action("accept", "jujubeglade.entry.acceptance")
 def accept(setting, state):
     """The writer holds the change in the store and a majority of acknowledgements."""
     if state.wait is not None or state.stored == 0:
@@ -169,7 +169,7 @@
         yield "accepted", state._replace(wait=setting.bounds.permit)
 
 
-@_action("in_force_by_time", "jujubeglade.entry.configuration")
+@_action("in_force_by_time", "jujubeglade.entry.acceptance")
 def in_force_by_time(setting, state):
     """A permit's time after acceptance the change is in force."""
     if state.wait is None or state.in_force:
@@ -178,7 +178,7 @@
         yield "in force by time", state._replace(in_force=True)
 
 
-@_action("in_force_by_agents", "jujubeglade.agent.permits")
+@_action("in_force_by_agents", "jujubeglade.agent.permit")
 def in_force_by_agents(setting, state):
     """All agents concerned acknowledged the accepted change."""
     agent = state.agent
--- a/packages/bench/src/jujubeglade/model/_ownership_owners.py
+++ b/packages/bench/src/jujubeglade/model/_ownership_owners.py
@@ -9,7 +9,7 @@
 _action = functools.partial(spec.action, ACTIONS)
 
 
-@_action("submit", "jujubeglade.entry.submission")
+@_action("submit", "jujubeglade.entry.router")
 def submit(setting, state):
     """An entry submits to a generation, the next one on any suspicion."""
     for generation, owner in enumerate(state.owners):
@@ -33,7 +33,7 @@
     )
 
 
-@_action("no_owner", "jujubeglade.entry.submission")
+@_action("no_owner", "jujubeglade.entry.router")
 def no_owner(setting, state):
     """An entry that reaches no owner at all answers by itself."""
     if setting.progress and all(owner.phase == records.OVER for owner in state.owners):
--- a/packages/bench/src/jujubeglade/model/leave.py
+++ b/packages/bench/src/jujubeglade/model/leave.py
@@ -119,14 +119,14 @@
         yield "task ends", following._replace(finished=state.finished + 1)
 
 
-@_action("leave", "jujubeglade.agent.lease")
+@_action("leave", "jujubeglade.agent.announce")
 def leave(setting, state):
     """The upstream asks to leave and the agent closes at once."""
     if state.upstream == SERVING:
         yield "upstream leaves", state._replace(upstream=LEAVING, open=False)
 
 
-@_action("acknowledge", "jujubeglade.agent.lease")
+@_action("acknowledge", "jujubeglade.agent.announce")
 def acknowledge(setting, state):
     """The agent acknowledges the leave."""
     if state.upstream != LEAVING:
@@ -135,7 +135,7 @@
         yield "agent acknowledges", state._replace(upstream=LEFT)
 
 
-@_action("late_renewal", "jujubeglade.agent.lease")
+@_action("late_renewal", "jujubeglade.agent.announce")
 def late_renewal(setting, state):
     """A renewal that was sent before the leave arrives after it."""
     if state.upstream != SERVING and not setting.rules.leave_is_final:
