--- a/features/model.feature
+++ b/features/model.feature
@@ -13,6 +13,17 @@
       | commands      |
       | leave         |
 
+  Scenario Outline: The states of <specification> include its witnesses
+    When the model looks for the witnesses of "<specification>"
+    Then the model finds them all
+
+    Examples:
+      | specification |
+      | ownership     |
+      | drain         |
+      | commands      |
+      | leave         |
+
   Scenario Outline: <specification> can always still reach its goal
     When the model checks the progress of "<specification>"
     Then the model is exhaustive and every property holds
@@ -42,6 +53,7 @@
       | ownership | the next attempt follows a timeout | at most one start | 7 |
       | ownership | the home places on itself | at most one start | 8 |
       | ownership | not_run without a close | not_run is true | 9 |
+      | ownership | a claim's answer keeps a failed attempt silent | not_run is true | 11 |
       | ownership | a closed candidate starts or keeps silent | not_run is true | 10 |
 
     Examples: Drain
@@ -88,3 +100,6 @@
 
   Scenario: Every mutation is listed above
     Then the model's feature names every mutation and relaxation
+
+  Scenario: Every action names a module that carries it out
+    Then the model's actions name modules that exist
