--- a/packages/bench/src/jujubeglade/bench/cluster.py
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -16,12 +16,12 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 
 import aiohttp
 
+from jujubeglade.bench import ports
 from jujubeglade.core import clock
 from jujubeglade.fakes import upstream, wire
 
@@ -86,7 +86,7 @@
         self.folder = folder
         self.processes = {}
         relayed = (shape.workers + shape.entries) * (shape.entries + 1)
-        self._ports = _free_ports(
+        self._ports = ports.free(
             4 + 2 * shape.entries + 4 * shape.workers + shape.relays * relayed
         )
         # Relays and their ports, by the pair of dialer and target; the dialer `*`
@@ -406,14 +406,3 @@
     user, system = fields.rsplit(") ", 1)[1].split()[11:13]
     ticks = os.sysconf("SC_CLK_TCK")
     return (int(user) + int(system)) * clock.MILLISECONDS_PER_SECOND / ticks
-
-
-def _free_ports(count):
-    """Find ports that are free now; all are held until the last is found."""
-    held = [socket.socket() for _ in range(count)]
-    for each in held:
-        each.bind((_HOST, 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
--- a/packages/bench/src/jujubeglade/bench/loopback.py
+++ b/packages/bench/src/jujubeglade/bench/loopback.py
@@ -9,9 +9,9 @@
 
 import asyncio
 import contextlib
-import socket
 
 from jujubeglade.agent import agent
+from jujubeglade.bench import ports
 from jujubeglade.core import clock, settings
 from jujubeglade.entry import entry
 from jujubeglade.fakes import store, upstream
@@ -54,10 +54,10 @@
           workers: An integer.
         """
         self.store = await store.start()
-        ports = _free_ports(entries)
+        numbers = ports.free(entries)
         streams = {
             f"entry-{number}": f"{_HOST}:{port}"
-            for number, port in enumerate(ports, start=1)
+            for number, port in enumerate(numbers, start=1)
         }
         for number, name in enumerate(streams):
             await self._open_entry(name, self._zone(number), streams)
@@ -151,14 +151,3 @@
         yield held
     finally:
         await held.close()
-
-
-def _free_ports(count):
-    """Find ports that are free now; entries must know each other's beforehand."""
-    held = [socket.socket() for _ in range(count)]
-    for each in held:
-        each.bind((_HOST, 0))
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/agent/executed.py
@@ -0,0 +1,85 @@
+"""Executed jobs: the records that an executor keeps of the jobs of the window."""
+
+from jujubeglade.core import contract, job
+
+
+class ExecutedAttempt:
+    """One attempt, from its acceptance to its end."""
+
+    __slots__ = (
+        "body",
+        "body_held",
+        "entry",
+        "state",
+        "task_id",
+        "upstream",
+        "verdict",
+    )
+
+    def __init__(self, task_id, entry, state):
+        """Remember an attempt.
+
+        Args:
+          task_id: A TaskId.
+          entry: A StartTask, or None for an attempt that was only promised
+            never to start.
+          state: An AttemptState.
+        """
+        self.task_id = task_id
+        self.entry = entry
+        self.state = state
+        self.upstream = None
+        self.verdict = ""
+        self.body = b""
+        self.body_held = True
+
+    def report(self):
+        """Describe the attempt to an owner.
+
+        Returns:
+          An Attempt.
+        """
+        return contract.Attempt(
+            self.task_id.index,
+            self.task_id.attempt,
+            self.state,
+            self.verdict,
+            self.body,
+            self.body_held,
+        )
+
+
+class ExecutedJob:
+    """What this executor knows of one job."""
+
+    __slots__ = (
+        "attempts",
+        "closed",
+        "deadline_ms",
+        "fence",
+        "issued_ms",
+        "key",
+        "owner",
+        "taken",
+        "tenant",
+        "urgency",
+    )
+
+    def __init__(self, key, issued_ms):
+        """Start with nothing known.
+
+        Args:
+          key: A string, the job key.
+          issued_ms: An integer, when the ticket was issued.
+        """
+        self.key = key
+        self.issued_ms = issued_ms
+        self.fence = 0
+        self.closed = False
+        self.owner = None
+        self.tenant = ""
+        self.urgency = job.Urgency.NORMAL
+        self.deadline_ms = 0.0
+        self.attempts = {}
+        # The tasks of which an attempt was accepted and not taken back.
+        self.taken = set()
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 
+from jujubeglade.agent import executed
 from jujubeglade.core import contract, job
 from jujubeglade.core import journal as audit
 
@@ -19,88 +20,6 @@
 _ACCEPTED = (_QUEUED, _RUNNING, _FINISHED)
 
 
-class ExecutedAttempt:
-    """One attempt, from its acceptance to its end."""
-
-    __slots__ = (
-        "body",
-        "body_held",
-        "entry",
-        "state",
-        "task_id",
-        "upstream",
-        "verdict",
-    )
-
-    def __init__(self, task_id, entry, state):
-        """Remember an attempt.
-
-        Args:
-          task_id: A TaskId.
-          entry: A StartTask, or None for an attempt that was only promised
-            never to start.
-          state: An AttemptState.
-        """
-        self.task_id = task_id
-        self.entry = entry
-        self.state = state
-        self.upstream = None
-        self.verdict = ""
-        self.body = b""
-        self.body_held = True
-
-    def report(self):
-        """Describe the attempt to an owner.
-
-        Returns:
-          An Attempt.
-        """
-        return contract.Attempt(
-            self.task_id.index,
-            self.task_id.attempt,
-            self.state,
-            self.verdict,
-            self.body,
-            self.body_held,
-        )
-
-
-class ExecutedJob:
-    """What this executor knows of one job."""
-
-    __slots__ = (
-        "attempts",
-        "closed",
-        "deadline_ms",
-        "fence",
-        "issued_ms",
-        "key",
-        "owner",
-        "taken",
-        "tenant",
-        "urgency",
-    )
-
-    def __init__(self, key, issued_ms):
-        """Start with nothing known.
-
-        Args:
-          key: A string, the job key.
-          issued_ms: An integer, when the ticket was issued.
-        """
-        self.key = key
-        self.issued_ms = issued_ms
-        self.fence = 0
-        self.closed = False
-        self.owner = None
-        self.tenant = ""
-        self.urgency = job.Urgency.NORMAL
-        self.deadline_ms = 0.0
-        self.attempts = {}
-        # The tasks of which an attempt was accepted and not taken back.
-        self.taken = set()
-
-
 class Executor:
     """The executor of one agent."""
 
@@ -240,11 +159,8 @@
           A Claimed.
         """
         known = self._job(claim.key, claim.issued_ms)
-        if claim.issued_ms < self._floor_ms or claim.generation < known.fence:
-            fence = max(known.fence, claim.generation + 1)
-            return contract.Claimed(claim.key, fence, known.closed, (), self.load())
-        if claim.generation > known.fence:
-            self._raise_fence(known, claim.generation)
+        if not self._follows(known, claim):
+            return self._refused(known, claim)
         known.owner = link
         for index, attempt in claim.attempts:
             self._settle(known, index, attempt)
@@ -261,11 +177,8 @@
           A Claimed.
         """
         known = self._job(close.key, close.issued_ms)
-        if close.issued_ms < self._floor_ms or close.generation < known.fence:
-            fence = max(known.fence, close.generation + 1)
-            return contract.Claimed(close.key, fence, known.closed, (), self.load())
-        if close.generation > known.fence:
-            self._raise_fence(known, close.generation)
+        if not self._follows(known, close):
+            return self._refused(known, close)
         known.closed = True
         self._journal.record(audit.Kind.CLOSED, known.key, generation=known.fence)
         self._drop_queued(known)
@@ -336,7 +249,7 @@
     def _job(self, key, issued_ms):
         known = self._jobs.get(key)
         if known is None:
-            known = ExecutedJob(key, issued_ms)
+            known = executed.ExecutedJob(key, issued_ms)
             if issued_ms >= self._floor_ms:
                 self._jobs[key] = known
                 self._bound_jobs()
@@ -379,10 +292,12 @@
             reason = contract.Reject.NO_UPSTREAM
         task_id = job.TaskId(known.key, entry.index, entry.attempt)
         if reason is not None:
-            known.attempts.setdefault(name, ExecutedAttempt(task_id, None, _NEVER))
+            known.attempts.setdefault(
+                name, executed.ExecutedAttempt(task_id, None, _NEVER)
+            )
             self._reject(link, known.key, entry, reason)
             return
-        accepted = ExecutedAttempt(task_id, entry, _QUEUED)
+        accepted = executed.ExecutedAttempt(task_id, entry, _QUEUED)
         known.attempts[name] = accepted
         known.taken.add(entry.index)
         self._queues[entry.task.service].append((known, accepted))
@@ -510,10 +425,23 @@
         """Promise never to start an attempt that is not known here."""
         if (index, attempt) not in known.attempts:
             task_id = job.TaskId(known.key, index, attempt)
-            promised = ExecutedAttempt(task_id, None, _NEVER)
+            promised = executed.ExecutedAttempt(task_id, None, _NEVER)
             known.attempts[(index, attempt)] = promised
             self._attempts.note(audit.Kind.REJECTED, known.key, index, attempt)
 
+    def _follows(self, known, asked):
+        """Raise the fence to the generation that asks; false when it is too low."""
+        if asked.issued_ms < self._floor_ms or asked.generation < known.fence:
+            return False
+        if asked.generation > known.fence:
+            self._raise_fence(known, asked.generation)
+        return True
+
+    def _refused(self, known, asked):
+        """Answer an owner that is not the latest, or whose job is forgotten."""
+        fence = max(known.fence, asked.generation + 1)
+        return contract.Claimed(asked.key, fence, known.closed, (), self.load())
+
     def _raise_fence(self, known, generation):
         former = known.owner
         known.fence = generation
