--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -84,6 +84,6 @@
     Then the configuration refuses: <remedy>
 
     Examples:
-      | name      | value | remedy                                                |
-      | placement | best  | choose one of: least_loaded, round_robin              |
-      | luck      | on    | name one of: placement, hedging, admission, queueing  |
+      | name      | value | remedy                                                       |
+      | placement | best  | choose one of: least_delay, least_loaded, round_robin        |
+      | luck      | on    | name one of: placement, hedging, admission, health, queueing |
--- a/features/language.feature
+++ b/features/language.feature
@@ -92,7 +92,7 @@
       column 20: there is no placement choice two
         set rule placement two
                            ^
-      the placement choices are least_loaded, round_robin
+      the placement choices are least_delay, least_loaded, round_robin
 
       > why task k3TqJw
       column 10: k3TqJw isn't right here
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -54,9 +54,10 @@
       limit tickets_per_request 1000 (settings)
       limit drain_grace_ms 30000 (settings)
       rule placement round_robin
-      rule hedging off (default)
+      rule hedging late (default)
       rule admission deadline (default)
-      rule queueing arrival (default)
+      rule health probation (default)
+      rule queueing fair (default)
       done
       """
 
@@ -164,7 +165,8 @@
   Scenario: Metrics and logs show what an operator cares for
     Given a site of 1 entry and 2 workers
     And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
-    And the job <b> of the site: {"class": "urgent", "tasks": [{"service": "none"}], "wait_ms": 5000}
+    And the job <b> of the site: {"class": "urgent", "deadline_ms": 100, "tasks": [{"service": "parts", "payload": {"ms": 9000}}], "wait_ms": 5000}
+    And the job <c> of the site: {"tasks": [{"service": "none"}], "wait_ms": 5000}
     Then the site answers workshop POST /v1/jobs {} with 400 and {"kind": "bad_request"}
     And the site's operator runs "drain worker worker-9"
       """
@@ -177,6 +179,7 @@
       | jujubeglade_jobs_answered_total{state="complete"} 1                                           |
       | jujubeglade_jobs_answered_total{state="failed"} 1                                             |
       | jujubeglade_requests_refused_total{kind="bad_request"} 1                                      |
+      | jujubeglade_requests_refused_total{kind="no_worker"} 1                                        |
       | jujubeglade_job_latency_ms_count{class="urgent",tenant="workshop"} 1.0                        |
       | jujubeglade_workers 2                                                                         |
       | jujubeglade_configuration_revision 1                                                          |
--- /dev/null
+++ b/features/policies.feature
@@ -0,0 +1,164 @@
+Feature: Decisions under load
+
+  A home and eleven executors of eight slots run on stand-in upstreams in virtual
+  time. Load is a share of what the site can do; tasks run 50 to 150 ms. Faults
+  begin after two seconds of quiet load from which the home learns.
+
+  Scenario Outline: A worker that fails everything at once
+    Given the policies site with health <health>
+    And the policies worker 3 fails every task
+    When policies jobs of 4 repeatable tasks come at 60 % for 5 s
+    Then <failed> of the policies jobs fail
+    And the policies worker 3 draws <drawn> of the starts
+
+    Examples:
+      | health    | failed         | drawn          |
+      | probation | less than 1 %  | less than 2 %  |
+      | off       | more than 50 % | more than 30 % |
+
+  Scenario: Two workers that fail everything do not vouch for each other
+    Given the policies site with health probation
+    And the policies worker 3 fails every task
+    And the policies worker 7 fails every task
+    When policies jobs of 4 repeatable tasks come at 60 % for 5 s
+    Then less than 1 % of the policies jobs fail
+    And 2 policies workers are in probation
+
+  Scenario: A worker that has recovered returns
+    Given the policies site with health probation
+    And the policies worker 3 fails every task until 4 s have passed
+    When policies jobs of 4 repeatable tasks come at 60 % for 20 s
+    Then less than 1 % of the policies jobs fail
+    And the policies worker 3 ends more than 3 % of the tasks
+
+  Scenario: Tasks that fail everywhere put no worker out of service
+    Given the policies site with health probation
+    When policies jobs of 4 tasks that fail everywhere come at 3 % for 10 s
+    And policies jobs of 4 repeatable tasks come at 57 % for 10 s
+    Then more than 4 % of the policies jobs fail
+    And 0 policies workers are in probation
+
+  Scenario Outline: A worker that takes ten times as long
+    Given the policies site with placement <placement>
+    And policies hedging <hedging>
+    And the policies worker 3 takes 10 times as long
+    When policies jobs of 4 repeatable tasks come at 60 % for 5 s
+    Then less than 1 % of the policies jobs fail
+    And 95 % of the policies jobs are answered within <time> ms
+
+    Examples:
+      | placement    | hedging | time |
+      | least_delay  | late    | 250  |
+      | least_delay  | off     | 250  |
+      | least_loaded | late    | 400  |
+
+  Scenario: What may not be repeated is never hedged or retried
+    Given the policies site with placement least_loaded
+    And policies hedging late
+    And the policies worker 3 takes 10 times as long
+    And the policies worker 5 fails every task
+    When policies jobs of 4 unrepeatable tasks come at 60 % for 5 s
+    Then no policies task starts twice
+
+  Scenario: Retries of a failing service stay within the budget
+    Given the policies site with health probation
+    When policies jobs of 1 tasks that fail everywhere come at 60 % for 5 s
+    Then the policies starts are less than 120 % of the tasks, and 210 more
+
+  Scenario: The loser of a hedge is stopped
+    Given the policies site with placement least_loaded
+    And policies hedging late
+    And the policies worker 3 takes 100 times as long
+    When policies jobs of 4 repeatable tasks come at 30 % for 5 s
+    Then the policies worker 3 has stopped what it did not end
+
+  Scenario Outline: Two tenants of one class, one of which floods
+    Given the policies site with queueing <queueing>
+    When policies jobs of 50 normal tasks of flood come at 150 % for 5 s
+    And policies jobs of 4 normal tasks of small come at 10 % for 5 s
+    Then 95 % of the policies jobs of small are answered <time>
+    And the policies jobs of flood all complete
+
+    Examples:
+      | queueing | time                 |
+      | fair     | within 300 ms        |
+      | arrival  | later than 1000 ms   |
+
+  Scenario: Batch work goes on beside a flood of urgent jobs
+    Given the policies site with queueing fair
+    When policies jobs of 50 urgent tasks of desk come at 200 % for 5 s
+    And policies jobs of 4 batch tasks of night come at 2 % for 5 s
+    Then 95 % of the policies jobs of night are answered within 1000 ms
+
+  Scenario: Tenants share by the weights of their quotas
+    Given the policies site with queueing fair
+    And the policies quota of heavy is 0 starts a second with weight 3
+    And the policies quota of light is 0 starts a second with weight 1
+    When policies jobs of 50 normal tasks of heavy come at 400 % for 2 s
+    And policies jobs of 50 normal tasks of light come at 400 % for 2 s
+    Then in the first 2 s heavy gets 2.5 to 3.5 times the starts of light
+
+  Scenario Outline: More load than the site can do, with deadlines of a second
+    Given the policies site with admission <admission>
+    When policies jobs of 4 tasks with a deadline of 1000 ms come at 130 % for 6 s
+    Then the policies goodput is <goodput> of the capacity
+    And <failed> of the policies jobs fail
+
+    Examples:
+      | admission | goodput        | failed         |
+      | deadline  | more than 95 % | less than 1 %  |
+      | always    | less than 60 % | more than 30 % |
+
+  Scenario: A refusal says when to come back, and that time is true
+    Given the policies site with admission deadline
+    When the policies site is full for 2000 ms
+    Then a policies job with a deadline of 1000 ms is refused as "deadline"
+    And the refusal says "request_not_run"
+    And the same policies job is taken after the time that the refusal gave
+
+  Scenario: A deadline that no task of the service can meet
+    Given the policies site with admission deadline
+    When the policies site has settled
+    Then a policies job with a deadline of 20 ms is refused as "never_runnable"
+
+  Scenario: A service that nobody offers
+    Given the policies site with admission deadline
+    When the policies site has settled
+    Then a policies job of service "brakes" is refused as "no_worker"
+
+  Scenario: A payload above the limit in force
+    Given the policies site with admission deadline
+    When the policies site has settled
+    And the policies limit max_payload_bytes becomes 10
+    Then a policies job with a deadline of 1000 ms is refused as "never_runnable"
+
+  Scenario: A queue that is full
+    Given the policies site with admission always
+    When the policies site has settled
+    And the policies site is full for 2000 ms
+    And the policies limit max_queue_tasks becomes 100
+    Then a policies job with a deadline of 1000 ms is refused as "overloaded"
+
+  Scenario: A tenant within its quota is taken in an overload
+    Given the policies site with admission deadline
+    And the policies quota of acme is 10000 starts a second with weight 1
+    When the policies site is full for 2000 ms
+    Then a policies job with a deadline of 1000 ms is taken
+
+  Scenario: A tenant beyond its quota is told so in an overload
+    Given the policies site with admission deadline
+    And the policies quota of acme is 10 starts a second with weight 1
+    When the policies site is full for 2000 ms
+    Then a policies job with a deadline of 1000 ms is refused as "quota"
+
+  Scenario: Rules change while tasks wait
+    Given the policies site with queueing fair
+    When the policies site is full for 2000 ms
+    And the policies rule queueing becomes arrival
+    Then every policies job completes
+
+  Scenario: A wave of cancellations costs a question for each job and worker
+    Given the policies site with queueing fair
+    When the policies site is full for 2000 ms
+    And all policies jobs are cancelled
+    Then the policies messages are at most 2 for each job and worker
--- /dev/null
+++ b/features/steps/policies_steps.py
@@ -0,0 +1,396 @@
+"""Steps for the decisions of a home under load, in virtual time."""
+
+import asyncio
+import collections
+
+from behave import given, step, then, when
+
+from jujubeglade.agent import health
+from jujubeglade.bench import policies as bench
+from jujubeglade.core import job as jobs
+from jujubeglade.core import problem, routing
+from jujubeglade.fakes import site as site_
+from jujubeglade.fakes import virtual
+
+_WARM_S = 2
+
+
+class Trial:
+    """One site, the loads that come to it, and what became of them."""
+
+    def __init__(self, rule, choice):
+        """Start with the default rules but one."""
+        self.loop = virtual.VirtualLoop()
+        self.rules = {rule: choice}
+        self.quotas = {}
+        self.limits = {}
+        self.faults = []
+        self.loads = []
+        self.tallies = collections.defaultdict(bench.Tally)
+        self.waiting = []
+        self.site = None
+        self.began_ms = 0.0
+        self.ended_ms = 0.0
+        self._revision = 0
+
+    def run(self, coroutine):
+        """Run a coroutine in the trial's time."""
+        return self.loop.run_until_complete(coroutine)
+
+    def play(self):
+        """Let all loads come, once."""
+        loads, self.loads = self.loads, []
+        if loads:
+            self.run(self._play(loads))
+
+    async def settle(self):
+        """Open the site and let it learn."""
+        if self.site is not None:
+            return
+        self.site = site_.open_site()
+        self.configure()
+        await bench.warm(self.site, _WARM_S)
+        for upstream in self.site.upstreams:
+            upstream.started.clear()
+            upstream.finished = 0
+        for number, fault, until_s in self.faults:
+            self._set(number, fault)
+            if until_s:
+                healed = {"fails": False, "slow_factor": 1}
+                self.loop.call_later(until_s, self._set, number, healed)
+        self.began_ms = self.site.clock.now_ms()
+
+    def configure(self):
+        """Put the trial's configuration in force."""
+        self._revision += 1
+        fields = {"rules": self.rules, "quotas": self.quotas, "limits": self.limits}
+        self.site.configure(self._revision, **fields)
+
+    async def fill(self, work_ms):
+        """Have work wait that takes the site so long."""
+        await self.settle()
+        tasks = [site_.task(100) for _ in range(88)]
+        for _ in range(int(work_ms / 100)):
+            asked = self.site.submit(tasks, 600_000, tenant="acme")
+            self.waiting.append(self.loop.create_task(asked))
+        await asyncio.sleep(0)
+
+    def starts(self):
+        """List the ids of all attempts started since the site settled."""
+        return [
+            task_id
+            for upstream in self.site.upstreams
+            for _, task_id in upstream.started
+        ]
+
+    def whole(self):
+        """Add up the tallies of all tenants."""
+        tallies = self.tallies.values()
+        complete = sum(len(each.times_ms) for each in tallies)
+        return complete, sum(each.failed for each in tallies)
+
+    def close(self):
+        """Stop everything."""
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.run(_settled(tasks))
+        self.loop.close()
+
+    async def _play(self, loads):
+        await self.settle()
+        began = [
+            bench.Load(self.site, seed).run(self.tallies[tenant], *arguments, **fields)
+            for seed, (tenant, arguments, fields) in enumerate(loads)
+        ]
+        await asyncio.gather(*began)
+        self.ended_ms = self.site.clock.now_ms()
+
+    def _set(self, number, fault):
+        for name, value in fault.items():
+            setattr(self.site.upstreams[number], name, value)
+
+
+async def _settled(tasks):
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@given("the policies site with {rule} {choice}")
+def step_site(context, rule, choice):
+    context.trial = Trial(rule, choice)
+    context.closers = [context.trial.close]
+
+
+@given("policies hedging {choice}")
+def step_hedging(context, choice):
+    context.trial.rules["hedging"] = choice
+
+
+@given("the policies worker {number:d} fails every task")
+def step_fails(context, number):
+    context.trial.faults.append((number, {"fails": True}, 0))
+
+
+@given(
+    "the policies worker {number:d} fails every task until {seconds:d} s have passed"
+)
+def step_fails_until(context, number, seconds):
+    context.trial.faults.append((number, {"fails": True}, seconds))
+
+
+@given("the policies worker {number:d} takes {factor:d} times as long")
+def step_slow(context, number, factor):
+    context.trial.faults.append((number, {"slow_factor": factor}, 0))
+
+
+@given(
+    "the policies quota of {tenant} is {rate:d} starts a second with weight {weight:d}"
+)
+def step_quota(context, tenant, rate, weight):
+    context.trial.quotas[tenant] = {"starts_per_s": rate, "weight": weight}
+
+
+def _load(context, size, share, seconds, **fields):
+    tenant = fields.get("tenant", "acme")
+    arguments = (seconds, share / 100)
+    context.trial.loads.append((tenant, arguments, {"size": size} | fields))
+
+
+@when(
+    "policies jobs of {size:d} {kind} tasks come at {share:d} % for {seconds:d} s",
+)
+def step_load(context, size, kind, share, seconds):
+    _load(context, size, share, seconds, repeatable=kind == "repeatable")
+
+
+@when(
+    "policies jobs of {size:d} tasks that fail everywhere come at {share:d} %"
+    " for {seconds:d} s"
+)
+def step_poison(context, size, share, seconds):
+    _load(context, size, share, seconds, poison=True)
+
+
+@when(
+    "policies jobs of {size:d} {urgency} tasks of {tenant} come at {share:d} %"
+    " for {seconds:d} s"
+)
+def step_tenant(context, size, urgency, tenant, share, seconds):
+    _load(context, size, share, seconds, tenant=tenant, urgency=urgency)
+
+
+@when(
+    "policies jobs of {size:d} tasks with a deadline of {deadline_ms:d} ms come at"
+    " {share:d} % for {seconds:d} s"
+)
+def step_deadline(context, size, deadline_ms, share, seconds):
+    _load(context, size, share, seconds, deadline_ms=deadline_ms)
+
+
+@when("the policies site has settled")
+def step_settled(context):
+    context.trial.run(context.trial.settle())
+
+
+@when("the policies site is full for {work_ms:d} ms")
+def step_full(context, work_ms):
+    context.trial.run(context.trial.fill(work_ms))
+
+
+@step("the policies {part} {name} becomes {value}")
+def step_becomes(context, part, name, value):
+    trial = context.trial
+    if part == "limit":
+        trial.limits[name] = int(value)
+    else:
+        trial.rules[name] = value
+
+    async def configure():
+        trial.configure()
+
+    trial.run(configure())
+
+
+@when("all policies jobs are cancelled")
+def step_cancel(context):
+    trial = context.trial
+    home = trial.site.home
+    running = [known for known in home.jobs.values() if not known.is_over]
+    context.messages = trial.site.messages()
+    context.cancelled = len(running)
+
+    async def cancel():
+        order = routing.CancelTenant("acme", "a step")
+        await home.cancel_tenant(order)
+
+    trial.run(cancel())
+
+
+def _share_holds(bound, part, whole):
+    """Check a share against words such as `less than 1 %`."""
+    way, _, percent = bound.removesuffix(" %").rpartition(" ")
+    share = 100 * part / whole
+    holds = share < float(percent) if way == "less than" else share > float(percent)
+    assert holds, f"{share:.1f} % is not {bound}"
+
+
+@then("{bound} of the policies jobs fail")
+def step_failed(context, bound):
+    context.trial.play()
+    complete, failed = context.trial.whole()
+    _share_holds(bound, failed, complete + failed)
+
+
+@then("the policies worker {number:d} draws {bound} of the starts")
+def step_drawn(context, number, bound):
+    drawn = len(context.trial.site.upstreams[number].started)
+    _share_holds(bound, drawn, len(context.trial.starts()))
+
+
+@then("the policies worker {number:d} ends {bound} of the tasks")
+def step_ended(context, number, bound):
+    upstreams = context.trial.site.upstreams
+    whole = sum(each.finished for each in upstreams)
+    _share_holds(bound, upstreams[number].finished, whole)
+
+
+@then("{count:d} policies workers are in probation")
+def step_probation(context, count):
+    workers = context.trial.site.home.workers.values()
+    found = [w for w in workers if w.health.state == health.State.PROBATION]
+    assert len(found) == count, found
+
+
+@then("95 % of the policies jobs are answered within {limit_ms:d} ms")
+def step_answered(context, limit_ms):
+    found_ms = context.trial.tallies["acme"].quantile(0.95)
+    assert found_ms <= limit_ms, found_ms
+
+
+@then("95 % of the policies jobs of {tenant} are answered {way} {limit_ms:d} ms")
+def step_answered_tenant(context, tenant, way, limit_ms):
+    context.trial.play()
+    found_ms = context.trial.tallies[tenant].quantile(0.95)
+    assert (found_ms <= limit_ms) == (way == "within"), found_ms
+
+
+@then("the policies jobs of {tenant} all complete")
+def step_complete(context, tenant):
+    tally = context.trial.tallies[tenant]
+    assert tally.times_ms and not tally.failed and not tally.refused, str(tally)
+
+
+@then("no policies task starts twice")
+def step_once(context):
+    context.trial.play()
+    starts = context.trial.starts()
+    tasks = {(task_id.key, task_id.index) for task_id in starts}
+    assert starts and len(tasks) == len(starts), (len(tasks), len(starts))
+
+
+@then("the policies starts are less than {percent:d} % of the tasks, and {more:d} more")
+def step_budget(context, percent, more):
+    context.trial.play()
+    starts = context.trial.starts()
+    tasks = {(task_id.key, task_id.index) for task_id in starts}
+    assert len(starts) <= len(tasks) * percent / 100 + more, (len(tasks), len(starts))
+
+
+@then("the policies worker {number:d} has stopped what it did not end")
+def step_stopped(context, number):
+    context.trial.play()
+    context.trial.run(asyncio.sleep(0.1))
+    found = context.trial.site.upstreams[number]
+    left = len(found.started) - found.finished - found.cancelled
+    assert found.cancelled and not left, (found.cancelled, left)
+
+
+@then(
+    "in the first {seconds:d} s {one} gets {low:g} to {high:g} times the starts"
+    " of {two}"
+)
+def step_ratio(context, seconds, one, low, high, two):
+    trial = context.trial
+    trial.play()
+    until_ms = trial.began_ms + seconds * 1000
+    tenant_of = {key: k.submission.tenant for key, k in trial.site.home.jobs.items()}
+    counts = collections.Counter(
+        tenant_of[task_id.key]
+        for upstream in trial.site.upstreams
+        for at_ms, task_id in upstream.started
+        if at_ms < until_ms
+    )
+    assert low <= counts[one] / counts[two] <= high, counts
+
+
+@then("the policies goodput is {bound} of the capacity")
+def step_goodput(context, bound):
+    trial = context.trial
+    trial.play()
+    useful_ms = sum(each.useful_ms for each in trial.tallies.values())
+    _share_holds(bound, useful_ms, 88 * (trial.ended_ms - trial.began_ms))
+
+
+def _ask(context, deadline_ms=1000, service=site_.SERVICE):
+    task = site_.task(100, service=service)
+    asked = context.trial.site.submit([task], deadline_ms)
+    return context.trial.run(asked)
+
+
+def _refused(answer, kind):
+    assert isinstance(answer, problem.Problem), answer
+    assert answer.kind == kind, answer
+    return answer
+
+
+@then('a policies job with a deadline of {deadline_ms:d} ms is refused as "{kind}"')
+def step_refused(context, deadline_ms, kind):
+    now_ms = context.trial.loop.time()
+    context.refusal = _refused(_ask(context, deadline_ms), kind)
+    assert context.trial.loop.time() == now_ms, "the refusal took time"
+
+
+@then('a policies job of service "{service}" is refused as "{kind}"')
+def step_refused_service(context, service, kind):
+    _refused(_ask(context, service=service), kind)
+
+
+@then('the refusal says "{outcome}"')
+def step_outcome(context, outcome):
+    assert context.refusal.outcome == outcome, context.refusal
+
+
+@then("the same policies job is taken after the time that the refusal gave")
+def step_after(context):
+    after_ms = context.refusal.retry_after_ms
+    assert after_ms > 0, context.refusal
+    context.trial.run(asyncio.sleep(after_ms / 1000))
+    answer = _ask(context)
+    assert getattr(answer, "state", None) == jobs.State.COMPLETE, answer
+
+
+@then("a policies job with a deadline of {deadline_ms:d} ms is taken")
+def step_taken(context, deadline_ms):
+    context.taken = context.trial.loop.create_task(
+        context.trial.site.submit([site_.task(100)], deadline_ms)
+    )
+    context.trial.run(asyncio.sleep(0.001))
+    assert not context.taken.done(), context.taken
+
+
+@then("every policies job completes")
+def step_every(context):
+    answers = context.trial.run(asyncio.wait_for(_all(context.trial.waiting), 60))
+    states = {answer.state for answer in answers}
+    assert states == {jobs.State.COMPLETE}, states
+
+
+async def _all(tasks):
+    return await asyncio.gather(*tasks)
+
+
+@then("the policies messages are at most {count:d} for each job and worker")
+def step_messages(context, count):
+    sent = context.trial.site.messages() - context.messages
+    most = count * context.cancelled * len(context.trial.site.upstreams)
+    assert context.cancelled and sent <= most, (sent, most)
--- /dev/null
+++ b/packages/bench/src/jujubeglade/fakes/site.py
@@ -0,0 +1,311 @@
+"""A site in one process: a real home and real executors on stand-in upstreams.
+
+The agents' links are replaced by calls with a delay, and the upstreams by sleeps.
+All runs in virtual time (`jujubeglade.fakes.virtual`):
+
+    async def trial():
+        site = open_site(workers=11)
+        site.upstreams[3].fails = True
+        answer = await site.submit([task(50)] * 8)
+
+An upstream's faults are attributes that may be changed at any time.
+"""
+
+import asyncio
+import json
+import types
+
+import result
+
+from jujubeglade.agent import executor, home, permit, upstream
+from jujubeglade.core import contract, journal, link, member, routing, ticket
+from jujubeglade.core import job as jobs
+from jujubeglade.core import settings as settings_
+from jujubeglade.fakes import virtual
+
+ONE_WAY_MS = 0.5
+SERVICE = "parts"
+_KEY = b"k" * 32
+_FAIL_MS = 1
+_FOREVER_MS = 10**9
+_AUDIT_RECORDS = 1000
+_ZONES = "abc"
+
+
+class SiteUpstream:
+    """One stand-in upstream; it runs a task by sleeping as the payload says."""
+
+    def __init__(self, clock, name, slots):
+        """Start without a fault.
+
+        Args:
+          clock: A Clock.
+          name: A string.
+          slots: An integer.
+        """
+        self.name = name
+        self.lease = name
+        self.announcement = upstream.Announcement(
+            SERVICE, f"http://{name}", slots, 64, _FOREVER_MS
+        )
+        self.leaving = False
+        self.running = 0
+        self.started = []
+        self.finished = 0
+        self.cancelled = 0
+        self.fails = False
+        self.slow_factor = 1
+        # Above this many running tasks it throttles; None means never.
+        self.capacity = None
+        self.throttled = 0
+        self._clock = clock
+        self._stops = {}
+
+    @property
+    def has_free_slot(self):
+        """Tell whether another task may start here."""
+        return not self.leaving and self.running < self.announcement.slots
+
+    def is_live(self, now_ms):
+        """Tell whether the lease holds; it always does."""
+        return True
+
+    async def call(self, task_id, payload, start_by_ms, deadline_ms):
+        """Run one attempt; `upstream.Upstream.call` gives the arguments.
+
+        Returns:
+          An Ended.
+        """
+        if self.capacity is not None and len(self._stops) >= self.capacity:
+            self.throttled += 1
+            return upstream.Ended(None, b"", contract.Reject.THROTTLED, 0)
+        fields = json.loads(payload)
+        self.started.append((self._clock.now_ms(), task_id))
+        if self.fails or fields.get("poison"):
+            await asyncio.sleep(_FAIL_MS / 1000)
+            return upstream.Ended(contract.Verdict.FAILED, b"500: fails")
+        run_ms = fields["ms"] * self.slow_factor
+        stop = asyncio.get_running_loop().create_future()
+        self._stops[task_id] = stop
+        done, _ = await asyncio.wait((stop,), timeout=run_ms / 1000)
+        del self._stops[task_id]
+        if done:
+            return upstream.Ended(contract.Verdict.FAILED, b"409: cancelled")
+        self.finished += 1
+        return upstream.Ended(contract.Verdict.SUCCEEDED, b"1")
+
+    async def cancel(self, task_id):
+        """Stop an attempt.
+
+        Args:
+          task_id: A TaskId.
+        """
+        stop = self._stops.get(task_id)
+        if stop is not None and not stop.done():
+            self.cancelled += 1
+            stop.set_result(None)
+
+
+class _Wire:
+    """One direction of a link: delivers after the delay of the network."""
+
+    def __init__(self, remote, deliver, serve=None):
+        self.remote = remote
+        self.sent = 0
+        self._deliver = deliver
+        self._serve = serve
+        self._closed = asyncio.get_running_loop().create_future()
+
+    @property
+    def is_open(self):
+        return not self._closed.done()
+
+    def send(self, body):
+        self.sent += 1
+        if not self.is_open:
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(ONE_WAY_MS / 1000, self._deliver, body)
+        return True
+
+    async def ask(self, body, timeout_ms):
+        self.sent += 1
+        await asyncio.sleep(ONE_WAY_MS / 1000)
+        answer = self._serve(body)
+        await asyncio.sleep(ONE_WAY_MS / 1000)
+        return result.Ok(answer)
+
+    async def run(self):
+        await asyncio.shield(self._closed)
+
+    async def watch(self, is_used):
+        """Watch nothing; this link does not fall silent."""
+
+    def close(self):
+        if self.is_open:
+            self._closed.set_result(None)
+
+
+class Site:
+    """A home with its executors; use `open_site`."""
+
+    def __init__(self, workers, slots, limits):
+        """Build the agents; `open_site` gives the arguments."""
+        self.clock = virtual.VirtualClock(asyncio.get_running_loop())
+        self.limits = settings_.Limits(**limits)
+        self.upstreams = []
+        self.executors = {}
+        self.members = []
+        self.permits = []
+        for number in range(workers):
+            self._add_agent(number, slots)
+        identity = self._identity(0)
+        agent = types.SimpleNamespace(
+            clock=self.clock,
+            identity=identity,
+            journal=self._journal(identity),
+            permits=self.permits[0],
+            cluster_key=_KEY,
+            settings=types.SimpleNamespace(limits=self.limits),
+        )
+        first = self.executors[identity.incarnation]
+        self.home = home.Home(agent, first, dial=self._dial)
+        self._homes_wires = {}
+
+    def configure(self, revision, **document):
+        """Put a configuration in force at every agent.
+
+        Args:
+          revision: An integer, above the last one.
+          **document: The fields of the configuration document.
+        """
+        text = json.dumps(document)
+        for held in self.permits:
+            held.apply(member.Configuration(revision, text))
+            held.grant(member.Permit(self.clock.now_ms(), revision, _FOREVER_MS, 0))
+        self.home.on_configuration()
+
+    async def submit(self, tasks, deadline_ms=30_000, tenant="acme", urgency="normal"):
+        """Submit a job and wait for its end.
+
+        Args:
+          tasks: A sequence of Tasks.
+          deadline_ms: An integer.
+          tenant: A string.
+          urgency: A string, a job.Urgency.
+
+        Returns:
+          An Answer or a Problem.
+        """
+        group = [each.incarnation for each in self.members]
+        held = ticket.issue(_KEY, self.clock.wall_ms(), group)
+        submission = jobs.Submission(
+            held.text, tenant, urgency, deadline_ms, tuple(tasks)
+        )
+        order = routing.Submit(submission, 0, tuple(self.members), 10 * deadline_ms)
+        return await self.home.submit(order)
+
+    def messages(self):
+        """Count the messages between the home and the executors.
+
+        Returns:
+          An integer.
+        """
+        return sum(wire.sent for pair in self._homes_wires.values() for wire in pair)
+
+    def close(self):
+        """Stop what runs."""
+        self.home.close()
+
+    def _add_agent(self, number, slots):
+        identity = self._identity(number)
+        held = permit.Permits(self.clock, identity)
+        held.grant(member.Permit(self.clock.now_ms(), 0, _FOREVER_MS, 0))
+        made = executor.Executor(
+            identity, self.clock, self._journal(identity), held, self.limits
+        )
+        stand_in = SiteUpstream(self.clock, identity.name, slots)
+        made.add_upstream(stand_in)
+        self.upstreams.append(stand_in)
+        self.permits.append(held)
+        self.executors[identity.incarnation] = made
+        self.members.append(
+            member.Member(
+                identity.incarnation,
+                identity.name,
+                identity.incarnation,
+                0,
+                identity.zone,
+                "r1",
+                (SERVICE,),
+                slots,
+            )
+        )
+
+    def _identity(self, number):
+        zone = _ZONES[number % len(_ZONES)]
+        return link.Identity("agent", f"w{number}", f"{number:010x}", zone)
+
+    def _journal(self, identity):
+        return journal.open_journal(
+            identity.name, identity.incarnation, self.clock, _AUDIT_RECORDS, _KEY
+        )
+
+    async def _dial(self, address, cluster_key, identity, handler):
+        name = address[0]
+        await asyncio.sleep(ONE_WAY_MS / 1000)
+        made = self.executors[name]
+        number = int(name, 16)
+        back = _Wire(identity, lambda body: handler.on_message(there, body))
+        there = _Wire(
+            self._identity(number),
+            lambda body: _on_message(made, back, body),
+            lambda body: _on_request(made, back, body),
+        )
+        self._homes_wires[name] = (there, back)
+        return result.Ok(there)
+
+
+def open_site(workers=11, slots=8, **limits):
+    """Make a site within a running virtual loop.
+
+    Args:
+      workers: An integer; the first one's agent is the home.
+      slots: An integer, of each worker.
+      **limits: Fields of settings.Limits that differ from the defaults.
+
+    Returns:
+      A Site.
+    """
+    return Site(workers, slots, limits)
+
+
+def task(run_ms, repeatable=True, declared_ms=0, service=SERVICE, poison=False):
+    """Make a task.
+
+    Args:
+      run_ms: A number, how long it runs on an upstream without faults.
+      repeatable: A boolean.
+      declared_ms: An integer, the declared run time.
+      service: A string.
+      poison: A boolean, whether it fails wherever it runs.
+
+    Returns:
+      A Task.
+    """
+    fields = {"ms": run_ms, "poison": poison}
+    payload = json.dumps(fields).encode("ascii")
+    return jobs.Task(service, payload, repeatable, declared_ms)
+
+
+def _on_message(made, back, body):
+    if isinstance(body, contract.Start):
+        made.start(back, body)
+    elif isinstance(body, contract.Stop):
+        made.stop(back, body)
+
+
+def _on_request(made, back, body):
+    if isinstance(body, contract.Claim):
+        return made.claim(back, body)
+    return made.close(back, body)
--- a/packages/core/src/jujubeglade/core/contract.py
+++ b/packages/core/src/jujubeglade/core/contract.py
@@ -1,7 +1,8 @@
 """The contract between the owner of a job and the executors of its tasks.
 
 The owner sends `Start`; the executor answers each task with one `Finished` or
-one `Rejected`. A reject is a promise: that attempt never starts. `Claim` and
+one `Rejected`. A reject is a promise: that attempt never starts. `Stop` cancels one
+attempt whose task already has its result. `Claim` and
 `Close` are questions; both raise the executor's fence to the generation that
 asks. docs/DESIGN.md, "At most once", gives the rules.
 """
@@ -26,6 +27,7 @@
     TOO_LATE = "too_late"
     THROTTLED = "throttled"
     UNREACHABLE = "unreachable"
+    STOPPED = "stopped"
 
 
 class AttemptState(enum.StrEnum):
@@ -233,3 +235,20 @@
 
     key: str
     generation: int
+
+
+@message.register(30)
+class Stop:
+    """Cancel one attempt of a repeatable task that has its result already.
+
+    Attributes:
+      key: A string, the job key.
+      generation: An integer, of the owner that sends this.
+      index: An integer, the task's place in its job.
+      attempt: An integer.
+    """
+
+    key: str
+    generation: int
+    index: int
+    attempt: int
--- a/packages/core/src/jujubeglade/core/rules.py
+++ b/packages/core/src/jujubeglade/core/rules.py
@@ -36,12 +36,12 @@
 _RULES = (
     Rule(
         "placement",
-        ("least_loaded", "round_robin"),
+        ("least_delay", "least_loaded", "round_robin"),
         "How a task's worker is chosen among the candidates.",
     ),
     Rule(
         "hedging",
-        ("off", "late"),
+        ("late", "off"),
         "Whether a repeatable task that is late starts on a second worker.",
     ),
     Rule(
@@ -49,10 +49,16 @@
         ("deadline", "always"),
         "Whether a job that can't meet its deadline is refused at once.",
     ),
+    Rule(
+        "health",
+        ("probation", "off"),
+        "Whether a worker that fails its tasks has to prove itself again.",
+    ),
     Rule(
         "queueing",
-        ("arrival",),
-        "The order of waiting tasks: urgent jobs first, then by arrival.",
+        ("fair", "arrival"),
+        "Whether tenants and classes share by weight, or come urgent first, as they"
+        " came.",
     ),
 )
 
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -202,10 +202,12 @@
 
         Args:
           opened: The Link.
-          body: A Start.
+          body: A Start or a Stop.
         """
         if isinstance(body, contract.Start):
             self.executor.start(opened, body)
+        elif isinstance(body, contract.Stop):
+            self.executor.stop(opened, body)
 
     async def on_request(self, opened, body):
         """Serve a question of another home.
@@ -256,7 +258,7 @@
         self.executor.use_limits(self.limits)
         self.home.use_limits(self.limits)
         self.executor.pump()
-        self.home.pump()
+        self.home.on_configuration()
 
     def on_upstreams_changed(self):
         """Tell the entries at once what can be run here."""
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -274,6 +274,25 @@
                 self._spawn(attempt.upstream.cancel(attempt.task_id))
         return self._claimed(known)
 
+    def stop(self, link, stop):
+        """Cancel one attempt that its owner has no more use for.
+
+        Args:
+          link: The Link of the owner.
+          stop: A Stop.
+        """
+        known = self._jobs.get(stop.key)
+        if known is None or stop.generation < known.fence:
+            return
+        attempt = known.attempts.get((stop.index, stop.attempt))
+        if attempt is None:
+            return
+        if attempt.state == _QUEUED:
+            self._queued -= 1
+            self._take_back(known, attempt, contract.Reject.STOPPED)
+        elif attempt.state == _RUNNING:
+            self._spawn(attempt.upstream.cancel(attempt.task_id))
+
     def tick(self, wall_ms):
         """Forget what is outside the window and drop what may not start.
 
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -9,7 +9,7 @@
 import asyncio
 import collections
 
-from jujubeglade.agent import listing, owned, policy, takeover, worker
+from jujubeglade.agent import listing, owned, scheduler, takeover, worker
 from jujubeglade.core import clock, contract, job, log, problem, routing, ticket
 from jujubeglade.core import journal as audit
 
@@ -17,24 +17,12 @@
 CLOSE_PATIENCE_MS = 250
 # A close waits once for a link and once for its answer.
 _CANCEL_PATIENCE_MS = 3 * CLOSE_PATIENCE_MS
-_PUMP_RETRY_MS = 20
-_AVOID_MS = 1000
 _MAX_REJECTS = 50
 _RETRY_AFTER_MS = 1000
 
 _log = log.get(__name__)
 
 _SUCCEEDED = contract.Verdict.SUCCEEDED
-_UNSUITABLE = frozenset(
-    (
-        contract.Reject.DRAINED,
-        contract.Reject.LEAVING,
-        contract.Reject.NO_PERMIT,
-        contract.Reject.NO_UPSTREAM,
-        contract.Reject.UNREACHABLE,
-        contract.Reject.TOO_LATE,
-    )
-)
 
 
 class LocalLink:
@@ -66,15 +54,17 @@
 class Home:
     """The home role of one agent."""
 
-    def __init__(self, agent, executor):
+    def __init__(self, agent, executor, dial=None):
         """Start with no job.
 
         Args:
           agent: The Agent's context: identity, clock, journal, permits,
             settings.
           executor: The Executor of this agent.
+          dial: A coroutine function that opens links; None means `link.dial`.
         """
         self._agent = agent
+        self._dial = dial
         self._clock = agent.clock
         self._journal = agent.journal
         self._limits = agent.settings.limits
@@ -83,9 +73,7 @@
         self._jobs = {}
         self._workers = {}
         self._tasks = set()
-        self._queue = policy.queue()
-        self._placement = policy.placement()
-        self._pump_handle = None
+        self._scheduler = scheduler.Scheduler(self, agent, self._send)
         self._held_bytes = 0
         self._floor_ms = 0
         self.leaving = False
@@ -103,6 +91,11 @@
         """Return the journal of this agent."""
         return self._journal
 
+    @property
+    def scheduler(self):
+        """Return the scheduler of the waiting tasks."""
+        return self._scheduler
+
     @property
     def workers(self):
         """Return the known workers, by incarnation."""
@@ -136,7 +129,7 @@
         held = parsed.ok_value
         known = self._jobs.get(held.key)
         if known is None:
-            refused = self._refusal(held, submit)
+            refused = self._refusal(held, submit) or self._decline(held, submit)
             if refused is not None:
                 self._journal.record(
                     audit.Kind.REFUSED, held.key, reason=str(refused.kind)
@@ -233,6 +226,8 @@
 
     def on_worker_changed(self, changed):
         """Place again after a worker's link opened or could not be dialed."""
+        if changed.link is not None and changed.was_lost:
+            self._scheduler.returned(changed)
         self.pump()
 
     def on_worker_lost(self, lost):
@@ -257,7 +252,7 @@
           wall_ms: An integer, the wall clock.
         """
         self._raise_floor(wall_ms - 2 * self._limits.window_ms)
-        self.pump()
+        self._scheduler.tick()
 
     def spawn(self, coroutine):
         """Run a coroutine beside the others until it ends.
@@ -289,7 +284,7 @@
         now_ms = self._clock.now_ms()
         known = self._workers.get(member.incarnation)
         if known is None:
-            known = worker.Worker(member, now_ms)
+            known = worker.Worker(member, now_ms, self._dial)
             self._workers[member.incarnation] = known
             if member.incarnation != self._agent.identity.incarnation:
                 agent = self._agent
@@ -334,10 +329,7 @@
           known: An OwnedJob.
           indexes: An iterable of integers, the places of the tasks.
         """
-        known.pending.extend(indexes)
-        known.ready = True
-        self._queue.add(known)
-        self.pump()
+        self._scheduler.add(known, indexes)
 
     def adopt(self, known, candidate, report):
         """Count an attempt that runs on a worker as this owner's own.
@@ -363,15 +355,15 @@
         Returns:
           A boolean, whether it was out.
         """
-        if not known.tasks:
-            return False
-        holder = known.tasks[index].attempts.pop(attempt, None)
+        # An end that comes after the answer finds no task any more.
+        task = known.tasks[index] if known.tasks else None
+        holder = task.attempts.pop(attempt, None) if task else None
         if holder is None:
             return False
         holder.outstanding.discard((known.key, index, attempt))
         return True
 
-    def take_result(self, known, index, verdict, body, body_held=True):
+    def take_result(self, known, index, verdict, body, body_held=True, lost=False):
         """Take the end of an attempt that was started.
 
         Args:
@@ -380,6 +372,7 @@
           verdict: A string, a Verdict.
           body: Bytes, the result or the error.
           body_held: A boolean, false when the executor dropped the body.
+          lost: A boolean, true when the worker was lost with the attempt.
         """
         if known.answer is not None or known.moved_to is not None:
             return
@@ -392,20 +385,30 @@
         task.evidence = outcome
         if known.ending:
             return
+            return
         if verdict == _SUCCEEDED and body_held:
             task.answer = job.TaskAnswer(job.TaskOutcome.RAN, body, "")
             known.unfinished -= 1
+            self._stop_others(known, index)
             if known.unfinished == 0:
                 self._complete(known)
             return
         succeeded = verdict == _SUCCEEDED
-        if not succeeded and task.task.repeatable and self._may_retry(task):
-            if not task.attempts:
-                self.make_ready(known, (index,))
+        if not succeeded and self._scheduler.retry(known, index, lost):
             return
         text = body.decode("utf-8", "replace") or "the result is no longer held"
         self.fail_task(known, index, outcome, text)
 
+    def _stop_others(self, known, index):
+        """Cancel the attempts of a task that has its result."""
+        for attempt, holder in list(known.tasks[index].attempts.items()):
+            if not known.is_latest(index, attempt):
+                self._scheduler.outrun(holder, known.tasks[index])
+            self.release(known, index, attempt)
+            if holder.link is not None or self.is_local(holder):
+                stop = contract.Stop(known.key, known.generation, index, attempt)
+                self._send(holder, stop)
+
     def fail_task(self, known, index, outcome, error):
         """Fail a task for good, and its job with it.
 
@@ -435,125 +438,39 @@
         self._finish(known)
 
     def pump(self):
-        """Place pending tasks while workers have room."""
-        starts = {}
-        exhausted = set()
-        now_ms = self._clock.now_ms()
-        for known in self._queue.jobs():
-            if known.is_over or not known.pending:
-                self._queue.discard(known)
-            else:
-                self._place_some(known, now_ms, starts, exhausted)
-        for (_, candidate), (known, entries) in starts.items():
-            self._send_start(known, candidate, tuple(entries), now_ms)
-        if len(self._queue) and self._pump_handle is None:
-            loop = asyncio.get_running_loop()
-            delay = clock.seconds(_PUMP_RETRY_MS)
-            self._pump_handle = loop.call_later(delay, self._pump_again)
-
-    def _pump_again(self):
-        self._pump_handle = None
-        self.pump()
-
-    def _place_some(self, known, now_ms, starts, exhausted):
-        """Place what can be placed of one job.
-
-        `exhausted` holds the kinds of tasks for which no worker had room in this
-        round, so that a long queue is not searched again and again.
-        """
-        while known.pending:
-            index = known.pending[0]
-            task = known.tasks[index]
-            if task.answer is not None:
-                known.pending.popleft()
-                continue
-            kind = (known.ticket.group, task.task.service, task.task.repeatable)
-            if kind in exhausted:
-                return
-            usable = self._usable(known, task.task, now_ms)
-            chosen = self._placement.choose(usable, self._agent.identity.zone)
-            if chosen is None:
-                exhausted.add(kind)
-                self._give_up_if_hopeless(known, task.task)
-                return
-            known.pending.popleft()
-            self._place(known, index, chosen, now_ms, starts)
-
-    def _place(self, known, index, chosen, now_ms, starts):
-        task = known.tasks[index]
-        attempt = known.next_attempt(index)
-        task.attempts[attempt] = chosen
-        task.holder = chosen.member
-        task.placed_ms = now_ms
-        chosen.outstanding.add((known.key, index, attempt))
-        entry = contract.StartTask(index, attempt, task.task)
-        starts.setdefault((known.key, chosen), (known, []))[1].append(entry)
-
-    def _may_hold(self, known, task, candidate):
-        """Tell whether the rules let a worker run a task."""
-        if candidate.gone or task.service not in candidate.member.services:
-            return False
-        if self._is_drained(candidate):
-            return False
-        # A start has two witnesses, unless the group has no other agent.
-        alone = len(known.ticket.group) == 1
-        return task.repeatable or alone or not self.is_local(candidate)
-
-    def _usable(self, known, task, now_ms):
-        return [
-            candidate
-            for candidate in known.workers
-            if self._may_hold(known, task, candidate)
-            and (candidate.link is not None or self.is_local(candidate))
-            and not candidate.is_paused(now_ms)
-        ]
-
-    def _is_drained(self, candidate):
-        member = candidate.member
-        return self._agent.permits.is_drained(member.zone, member.name)
-
-    def _give_up_if_hopeless(self, known, task):
-        """Answer at once when no worker can take a task any more."""
-        hopeful = any(
-            candidate.may_connect or self.is_local(candidate)
-            for candidate in known.workers
-            if self._may_hold(known, task, candidate)
-        )
-        if not hopeful:
-            reason = f"no worker of service {task.service} is in service"
-            self.spawn(self.fail(known, reason, _RETRY_AFTER_MS))
-
-    def _send_start(self, known, candidate, entries, now_ms):
-        start = contract.Start(
-            known.key,
-            known.ticket.issued_ms,
-            known.generation,
-            known.submission.tenant,
-            known.submission.urgency,
-            max(0, int(known.deadline_ms - now_ms)),
-            entries,
-        )
-        if self.is_local(candidate):
-            self._executor.start(self._local, start)
+        """Place waiting tasks while workers have room."""
+        self._scheduler.pump()
+
+    def on_configuration(self):
+        """Apply the rules, quotas and drains of a new configuration."""
+        self._scheduler.configure(self._agent.permits.document)
+
+    def _send(self, candidate, body):
+        """Send a one-way message to the executor of a worker."""
+        if not self.is_local(candidate):
+            candidate.link.send(body)
+        elif isinstance(body, contract.Start):
+            self._executor.start(self._local, body)
         else:
-            candidate.link.send(start)
+            self._executor.stop(self._local, body)
 
     def _on_finished(self, link, finished):
         known = self._note(link, finished)
         if known is not None:
+            candidate = self._workers[link.remote.incarnation]
+            if not known.is_over:
+                self._scheduler.finished(candidate, known, finished)
             self.take_result(known, finished.index, finished.verdict, finished.body)
         self.pump()
 
     def _on_rejected(self, link, rejected):
         known = self._note(link, rejected)
         candidate = self._workers.get(link.remote.incarnation)
-        now_ms = self._clock.now_ms()
+        active = known is not None and not known.is_over
         if candidate is not None:
-            if rejected.reason in _UNSUITABLE:
-                candidate.pause(now_ms + _AVOID_MS)
-            elif rejected.reason == contract.Reject.THROTTLED:
-                candidate.pause(now_ms + rejected.retry_after_ms)
-        if known is None or known.is_over:
+            service = known.tasks[rejected.index].task.service if active else None
+            self._scheduler.rejected(candidate, service, rejected)
+        if not active:
             return
         if rejected.reason == contract.Reject.FENCED:
             self.move(known, known.generation + 1)
@@ -564,7 +481,7 @@
             reason = f"task {rejected.index}: rejected too often: {rejected.reason}"
             self.spawn(self.fail(known, reason, _RETRY_AFTER_MS))
         elif task.answer is None and not task.attempts:
-            self.make_ready(known, (rejected.index,))
+            self._scheduler.add(known, (rejected.index,), first=True)
 
     def _find(self, asked):
         """Find a job for its tenant, or for an operator; None hides it."""
@@ -582,9 +499,6 @@
             candidate.note_load(ended.load)
         return known if was_out else None
 
-    def _may_retry(self, task):
-        return task.attempts_made < policy.MAX_ATTEMPTS
-
     def _refusal(self, held, submit):
         if held.issued_ms < self._floor_ms:
             return problem.Problem(
@@ -619,6 +533,21 @@
             )
         return None
 
+    def _decline(self, held, submit):
+        """Tell why a new job is not taken; a successor takes what a home took."""
+        if submit.generation > 0:
+            return None
+        workers = self._workers_of(held, submit)
+        return self._scheduler.refusal(submit.submission, workers, len(held.group))
+
+    def _workers_of(self, held, submit):
+        by_incarnation = self._members(held, submit.members)
+        return tuple(
+            self.worker_for(by_incarnation[name])
+            for name in held.group
+            if name in by_incarnation
+        )
+
     def _accept(self, held, submit):
         now_ms = self._clock.now_ms()
         known = owned.OwnedJob(submit.submission, held, submit.generation, now_ms)
@@ -633,11 +562,8 @@
             candidates=_sources(submit.members),
         )
         by_incarnation = self._members(held, submit.members)
-        known.workers = tuple(
-            self.worker_for(by_incarnation[name])
-            for name in held.group
-            if name in by_incarnation
-        )
+        known.workers = self._workers_of(held, submit)
+        self._scheduler.prepare(known)
         loop = asyncio.get_running_loop()
         delay = clock.seconds(submit.submission.deadline_ms)
         known.deadline_handle = loop.call_later(delay, self._on_deadline, known)
@@ -696,7 +622,7 @@
         if known.is_over:
             return
         known.ending = True
-        known.pending.clear()
+        self._scheduler.discard(known)
         answers = await takeover.close_job(self, known)
         known.ending = False
         if known.moved_to is not None:
@@ -724,7 +650,7 @@
         self._bound_results()
 
     def _finish(self, known):
-        self._queue.discard(known)
+        self._scheduler.discard(known)
         known.shrink()
         known.wake()
 
--- a/packages/dispatch/src/jujubeglade/agent/owned.py
+++ b/packages/dispatch/src/jujubeglade/agent/owned.py
@@ -15,7 +15,10 @@
         "answer",
         "attempts",
         "attempts_made",
+        "avoid",
         "evidence",
+        "expected_ms",
+        "failures",
         "holder",
         "placed_ms",
         "rejects",
@@ -35,6 +38,10 @@
         # The Member that the last attempt was placed on.
         self.holder = None
         self.rejects = 0
+        # The attempts that were started and failed, and the workers they failed on.
+        self.failures = 0
+        self.avoid = set()
+        self.expected_ms = 1.0
         self.placed_ms = 0.0
         self.answer = None
         # What earlier attempts prove: a TaskOutcome, or None when nothing started.
@@ -50,11 +57,10 @@
         "answer",
         "deadline_handle",
         "ending",
+        "failed_on",
         "generation",
         "key",
         "moved_to",
-        "pending",
-        "ready",
         "submission",
         "tasks",
         "ticket",
@@ -77,11 +83,11 @@
         self.generation = generation
         self.accepted_ms = accepted_ms
         self.tasks = [OwnedTask(task) for task in submission.tasks]
-        self.pending = collections.deque()
         self.unfinished = len(self.tasks)
         self.workers = ()
-        self.ready = False
         self.ending = False
+        # The failures of its tasks that were held against workers, by Worker.
+        self.failed_on = collections.Counter()
         self.moved_to = None
         self.answer = None
         self.deadline_handle = None
@@ -115,6 +121,15 @@
         owned.attempts_made += 1
         return self.generation * _ATTEMPTS_PER_GENERATION + owned.attempts_made
 
+    def is_latest(self, index, attempt):
+        """Tell whether an attempt is the last one drawn for a task.
+
+        Args:
+          index: An integer, the task's place.
+          attempt: An integer.
+        """
+        return attempt % _ATTEMPTS_PER_GENERATION == self.tasks[index].attempts_made
+
     def add_waiter(self, waiter):
         """Have a future resolved when the job is over.
 
@@ -134,9 +149,9 @@
         """Keep only what a resubmission of an ended job needs."""
         self.deadline_handle.cancel()
         self.deadline_handle = None
-        self.pending.clear()
         self.tasks = ()
         self.workers = ()
+        self.failed_on = None
         self.submission = dataclasses.replace(self.submission, ticket="", tasks=())
         self.ticket = dataclasses.replace(self.ticket, group=(), text="")
 
--- a/packages/dispatch/src/jujubeglade/agent/policy.py
+++ b/packages/dispatch/src/jujubeglade/agent/policy.py
@@ -1,125 +1,93 @@
-"""Policies of a home: which worker takes a task, and which job is next.
+"""Policies of a home: the choices of the rules in force, and what they share.
 
 Each policy carries out a choice of a rule (`jujubeglade.core.rules`); the plain
-ones are kept to measure the others against.
+choices are kept to measure the others against. An operator's change of a rule
+takes the place of the policy at once; docs/POLICIES.md tells what each does.
 """
 
-import collections
-
-from jujubeglade.core import job, rules
-
-MAX_ATTEMPTS = 3
-_PIPELINED = 1
-
-
-def placement(choice=rules.RULES["placement"].default):
-    """Make a placement.
-
-    Args:
-      choice: A string, a choice of the rule `placement`.
-
-    Returns:
-      An object with `choose(workers, zone)`.
-    """
-    return rules.implementation("placement", choice)()
-
-
-def queue(choice=rules.RULES["queueing"].default):
-    """Make a queue of jobs.
-
-    Args:
-      choice: A string, a choice of the rule `queueing`.
-
-    Returns:
-      An object with `add`, `discard`, `jobs` and a length.
-    """
-    return rules.implementation("queueing", choice)()
-
-
-@rules.implements("placement", "round_robin")
-class RoundRobin:
-    """Take the workers in turn, whether they are busy or not."""
-
-    __slots__ = ("_turn",)
-
-    def __init__(self):
-        """Start with the first worker."""
-        self._turn = 0
-
-    def choose(self, workers, zone):
-        """Choose a worker for one task.
+from jujubeglade.agent import (
+    admission,
+    health,
+    hedging,
+    placement,
+    queueing,
+    retry,
+    runtimes,
+)
+from jujubeglade.core import rules
+
+# Importing the modules registers their classes.
+_MODULES = (health, hedging, placement, queueing)
+
+
+class Policies:
+    """The policies of one home."""
+
+    __slots__ = (
+        "_choices",
+        "admission",
+        "budget",
+        "health",
+        "hedging",
+        "placement",
+        "queue",
+        "quotas",
+        "times",
+    )
+
+    def __init__(self, now_ms):
+        """Start with the default of every rule.
 
         Args:
-          workers: A list of Workers that may take it.
-          zone: A string, the zone of the home.
-
-        Returns:
-          A Worker, or None.
+          now_ms: A number, the monotonic time.
         """
-        if not workers:
-            return None
-        self._turn += 1
-        return workers[self._turn % len(workers)]
+        self._choices = {}
+        self.quotas = admission.Quotas()
+        self.times = runtimes.RunTimes()
+        self.budget = retry.Budget(now_ms)
+        self.queue = None
+        self.configure({})
 
-
-@rules.implements("placement", "least_loaded")
-class LeastLoaded:
-    """Take the worker with the most room, the nearest of equals."""
-
-    __slots__ = ()
-
-    def choose(self, workers, zone):
-        """Choose a worker for one task.
+    def configure(self, document):
+        """Apply a configuration document.
 
         Args:
-          workers: A list of Workers that may take it.
-          zone: A string, the zone of the home.
+          document: A dict; `rules` and `quotas` are read.
 
         Returns:
-          A Worker with a free slot, or None.
+          A boolean, whether the queue is another one and is empty.
         """
-        free = [each for each in workers if each.backlog < each.slots + _PIPELINED]
-        return min(free, key=lambda each: _cost(each, zone), default=None)
-
-
-def _cost(worker, zone):
-    return (worker.backlog / max(1, worker.slots), worker.member.zone != zone)
-
-
-@rules.implements("queueing", "arrival")
-class Arrival:
-    """Serve urgent jobs first, and jobs of one class as they came."""
-
-    __slots__ = ("_by_urgency",)
-
-    def __init__(self):
-        """Start empty."""
-        self._by_urgency = {each: collections.OrderedDict() for each in job.Urgency}
-
-    def __len__(self):
-        """Count the jobs."""
-        return sum(len(jobs) for jobs in self._by_urgency.values())
-
-    def add(self, known):
-        """Queue a job unless it is queued already.
-
-        Args:
-          known: An OwnedJob.
-        """
-        self._by_urgency[known.submission.urgency].setdefault(known.key, known)
+        self.quotas.configure(document.get("quotas", {}))
+        chosen = document.get("rules", {})
+        for name in ("admission", "health", "hedging", "placement"):
+            made = self._make(name, chosen)
+            if made is not None:
+                setattr(self, name, made)
+        made = self._make("queueing", chosen, self.quotas.weight)
+        if made is not None:
+            self.queue = made
+        return made is not None
+
+    def _make(self, name, chosen, *arguments):
+        """Make the policy of a rule whose choice has changed."""
+        choice = chosen.get(name, rules.RULES[name].default)
+        if choice == self._choices.get(name):
+            return None
+        found = rules.implementation(name, choice)
+        if found is None:
+            # A choice of a later version: what is in force stays.
+            return None
+        self._choices[name] = choice
+        return found(*arguments)
 
-    def discard(self, known):
-        """Take a job out, if it is in.
 
-        Args:
-          known: An OwnedJob.
-        """
-        self._by_urgency[known.submission.urgency].pop(known.key, None)
+def open_policies(now_ms):
+    """Make the policies of a home.
 
-    def jobs(self):
-        """List the jobs in the order of service.
+    Args:
+      now_ms: A number, the monotonic time.
 
-        Returns:
-          A list of OwnedJobs.
-        """
-        return [known for jobs in self._by_urgency.values() for known in jobs.values()]
+    Returns:
+      A Policies.
+    """
+    return Policies(now_ms)
--- a/packages/dispatch/src/jujubeglade/agent/takeover.py
+++ b/packages/dispatch/src/jujubeglade/agent/takeover.py
@@ -181,7 +181,7 @@
     if known.is_over or not home.release(known, index, attempt):
         return
     text = b"the worker that held it does not answer"
-    home.take_result(known, index, contract.Verdict.UNKNOWN, text)
+    home.take_result(known, index, contract.Verdict.UNKNOWN, text, lost=True)
 
 
 async def close_job(home, known):
--- a/packages/dispatch/src/jujubeglade/agent/worker.py
+++ b/packages/dispatch/src/jujubeglade/agent/worker.py
@@ -7,40 +7,58 @@
 
 import asyncio
 
+from jujubeglade.agent import health
 from jujubeglade.core import clock, link
 
 _REDIAL_FIRST_MS = 50
 _REDIAL_LAST_MS = 1000
 _FAILED_DIALS_BEFORE_LOST = 2
+_PACE_WEIGHT = 0.2
+_PACE_LIMIT = 20.0
+_PACE_HALVED_MS = 10_000
 
 
 class Worker:
     """One candidate, as a home sees it."""
 
     __slots__ = (
+        "_dial",
         "_failed_dials",
         "_foreign",
+        "_paces",
         "_link",
         "_paused_until_ms",
         "_settled",
         "_slots",
+        "drained",
         "gone",
+        "health",
         "member",
         "outstanding",
         "used_ms",
+        "was_lost",
     )
 
-    def __init__(self, member, used_ms):
+    def __init__(self, member, used_ms, dial=None):
         """Start without a link.
 
         Args:
           member: A Member.
           used_ms: A number, the monotonic time of its last use.
+          dial: A coroutine function that opens links; None means `link.dial`.
         """
         self.member = member
+        self._dial = dial
         self.outstanding = set()
         self.gone = False
+        # Whether it was out of service at the last look.
+        self.drained = False
+        self.health = health.Record()
+        # By service, the ratio of the run times to the expected ones, and when.
+        self._paces = {}
         self.used_ms = used_ms
+        # Whether an earlier link was cut.
+        self.was_lost = False
         self._link = None
         self._failed_dials = 0
         self._foreign = 0
@@ -87,6 +105,37 @@
         """
         self._paused_until_ms = max(self._paused_until_ms, until_ms)
 
+    def slowness(self, service, now_ms):
+        """Tell how slow tasks of a service ran here lately.
+
+        What is not observed any more is forgotten, so that a slow worker gets a
+        task to prove itself now and then.
+
+        Args:
+          service: A string.
+          now_ms: A number, the monotonic time.
+
+        Returns:
+          A number, the ratio of the run times to the expected ones.
+        """
+        held = self._paces.get(service)
+        if held is None:
+            return 1.0
+        ratio, at_ms = held
+        return 1.0 + (ratio - 1.0) * 0.5 ** ((now_ms - at_ms) / _PACE_HALVED_MS)
+
+    def note_pace(self, service, ratio, now_ms):
+        """Take over how a task ran here.
+
+        Args:
+          service: A string.
+          ratio: A number, of its run time to the expected one.
+          now_ms: A number, the monotonic time.
+        """
+        former = self.slowness(service, now_ms)
+        pace = former + (min(ratio, _PACE_LIMIT) - former) * _PACE_WEIGHT
+        self._paces[service] = (pace, now_ms)
+
     def note_load(self, load):
         """Take over what the worker says of itself.
 
@@ -124,7 +173,8 @@
         """
         delay_ms = _REDIAL_FIRST_MS
         while not self.gone:
-            dialed = await link.dial(self.member.address, cluster_key, identity, home)
+            dial = self._dial or link.dial
+            dialed = await dial(self.member.address, cluster_key, identity, home)
             if dialed.is_err():
                 self._failed_dials += 1
                 if not self.may_connect:
@@ -155,4 +205,5 @@
             watching.cancel()
             self._settled.clear()
             self._link = None
+            self.was_lost = True
             home.on_worker_lost(self)
