--- a/packages/dispatch/src/jujubeglade/agent/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/agent/scheduler.py
@@ -468,7 +468,7 @@
         queue = self._policies.queue
         expected = collections.defaultdict(list)
         for task in submission.tasks:
-            expected_ms = self._times.expected_ms(task, submission.tenant)
+            expected_ms = self._times.known_ms(task, submission.tenant)
             expected[task.service].append(expected_ms)
         ahead_ms = queue.ahead_ms(submission)
         whole_ms = sum(queue.queued_ms.values()) or 1.0
@@ -482,7 +482,7 @@
                 # What runs now is half done on average.
                 work_ms += slots * longest_ms / 2
             end_ms = max(end_ms, (work_ms - longest_ms) / slots + longest_ms)
-            rate = max(rate, slots * len(each_ms) / sum(each_ms))
+            rate = max(rate, slots * len(each_ms) / max(1.0, sum(each_ms)))
         least_ms = max(self._times.least_ms(service) for service in expected)
         tasks = len(submission.tasks)
         return admission.Outlook(end_ms, least_ms, tasks, self.queued, rate)
