--- a/packages/dispatch/src/jujubeglade/agent/runtimes.py
+++ b/packages/dispatch/src/jujubeglade/agent/runtimes.py
@@ -96,9 +96,6 @@
           tenant: A string.
 
         Returns:
-<<<<<<< HEAD
-          A number above 0.
-=======
           A number above 0; a usual one when nothing is known.
         """
         return self.known_ms(task, tenant) or _DEFAULT_MS
@@ -112,18 +109,13 @@
 
         Returns:
           A number; 0 when nothing is known.
->>>>>>> policies
         """
         declared = task.run_ms > 0
         mean = self._means.get((task.service, tenant, declared))
         if mean is None:
             mean = self._means.get((task.service, None, declared))
         if mean is None:
-<<<<<<< HEAD
-            return float(task.run_ms or _DEFAULT_MS)
-=======
             return float(task.run_ms)
->>>>>>> policies
         return max(_LEAST_MS, mean.value * (task.run_ms or 1))
 
     def least_ms(self, service):
