Let operators throttle what runs of a job

Cause: cancel reached the upstreams, throttle did not, though the platform's tasks can be throttled. An order goes to every attempt that is out and changes nothing else. Ruled out: a change of the job's state; an upstream may not take the order. One way leads from an owner's messages into an executor now, for links and the home beside it. After: the scenario of it passes; what was throttled ends and is told.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -164,6 +164,17 @@
     Then the site answers workshop POST /v1/jobs {"id": "<s>", "wait_ms": 5000, "tasks": [{"service": "parts", "payload": {"ms": 1, "value": 7}}]} with 200 and {"state": "complete"}
     And the site answers workshop POST /v1/jobs {"id": "<l>", "wait_ms": 5000, "tasks": [{"service": "parts", "payload": {"ms": 1, "value": "1234567890123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890"}}]} with 200 and {"state": "failed", "reason": "task 0: the result is longer than result_bytes"}
 
+  Scenario: What runs of a job is throttled, and still ends
+    Given a site of 1 entry and 2 workers
+    And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1500}}, {"service": "parts", "payload": {"ms": 1500}}]}
+    Then the site's operator runs "throttle job <a>"
+      """
+      2 attempts of job <a-key> told to run with less
+      done
+      """
+    And the answer to "show jobs" comes to hold: <a-key> workshop complete 2 2
+    And the answer to "why job <a-key>" comes to hold: recorded
+
   Scenario: Metrics and logs show what an operator cares for
     Given a site of 1 entry and 2 workers
     And the job <a> of the site: {"tasks": [{"service": "parts", "payload": {"ms": 1}}], "wait_ms": 5000}
--- a/packages/bench/src/jujubeglade/fakes/upstream.py
+++ b/packages/bench/src/jujubeglade/fakes/upstream.py
@@ -71,6 +71,7 @@
         self.started = []
         self.finished = 0
         self.cancelled = 0
+        self.throttled = set()
         self.refused_late = 0
         self.fail = False
         self.slow_factor = 1
@@ -100,6 +101,7 @@
         app = web.Application(client_max_size=1 << 24)
         app.router.add_post("/tasks/{id}", self._run)
         app.router.add_delete("/tasks/{id}", self._cancel)
+        app.router.add_post("/tasks/{id}/throttle", self._throttle)
         app.router.add_post("/control", self._control)
         app.router.add_get("/control", self._show)
         self._runner = web.AppRunner(app, access_log=None)
@@ -180,6 +182,8 @@
         stop = asyncio.get_running_loop().create_future()
         self._running[task_id] = stop
         done, _ = await asyncio.wait((stop,), timeout=run_ms / 1000)
+        if task_id in self.throttled and not done:
+            done, _ = await asyncio.wait((stop,), timeout=run_ms / 1000)
         self._running.pop(task_id, None)
         if done:
             return web.Response(status=409, text="cancelled")
@@ -193,6 +197,11 @@
             stop.set_result(None)
         return web.Response(status=204)
 
+    async def _throttle(self, request):
+        """Let a task take twice its time."""
+        self.throttled.add(request.match_info["id"])
+        return web.Response(status=204)
+
     async def _control(self, request):
         self.set_faults(**await request.json())
         return web.json_response({})
--- a/packages/core/src/jujubeglade/core/_journal_record.py
+++ b/packages/core/src/jujubeglade/core/_journal_record.py
@@ -33,6 +33,8 @@
     FINISHED = "finished"
     # A client or the deadline cancelled the job.
     CANCELLED = "cancelled"
+    # An operator had what ran of the job throttled.
+    THROTTLED = "throttled"
     # The home placed these attempts after an earlier one failed.
     RETRIED = "retried"
     # The home placed these attempts beside one that was slow.
--- a/packages/core/src/jujubeglade/core/contract.py
+++ b/packages/core/src/jujubeglade/core/contract.py
@@ -252,3 +252,20 @@
     generation: int
     index: int
     attempt: int
+
+
+@message.register(31)
+class Throttle:
+    """Ask the upstream to run one attempt with less; nothing follows from it.
+
+    Attributes:
+      key: A string, the job key.
+      generation: An integer, of the owner that sends this.
+      index: An integer, the task's place in its job.
+      attempt: An integer.
+    """
+
+    key: str
+    generation: int
+    index: int
+    attempt: int
--- a/packages/core/src/jujubeglade/core/routing.py
+++ b/packages/core/src/jujubeglade/core/routing.py
@@ -133,3 +133,16 @@
 
     rows: tuple[JobRow, ...]
     total: int
+
+
+@message.register(59)
+class Throttle:
+    """Have what runs of a job throttled; answered by a Count of its attempts.
+
+    Attributes:
+      key: A string, the job key.
+      reason: A string, who asked and why.
+    """
+
+    key: str
+    reason: str
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -202,12 +202,9 @@
 
         Args:
           opened: The Link.
-          body: A Start or a Stop.
+          body: A message of `contract`.
         """
-        if isinstance(body, contract.Start):
-            self.executor.start(opened, body)
-        elif isinstance(body, contract.Stop):
-            self.executor.stop(opened, body)
+        self.executor.on_message(opened, body)
 
     async def on_request(self, opened, body):
         """Serve a question of another home.
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -126,6 +126,20 @@
         """
         return self._upstreams.get(lease)
 
+    def on_message(self, link, body):
+        """Take a one-way message of an owner.
+
+        Args:
+          link: The Link it came by.
+          body: A Start, a Stop or a Throttle; others are ignored.
+        """
+        if isinstance(body, contract.Start):
+            self.start(link, body)
+        elif isinstance(body, contract.Stop):
+            self.stop(link, body)
+        elif isinstance(body, contract.Throttle):
+            self.throttle(link, body)
+
     def start(self, link, start):
         """Accept or reject the tasks of a Start.
 
@@ -194,10 +208,7 @@
           link: The Link of the owner.
           stop: A Stop.
         """
-        known = self._jobs.get(stop.key)
-        if known is None or stop.generation < known.fence:
-            return
-        attempt = known.attempts.get((stop.index, stop.attempt))
+        known, attempt = self._ordered(stop)
         if attempt is None:
             return
         if attempt.state == _QUEUED:
@@ -206,6 +217,17 @@
         elif attempt.state == _RUNNING:
             self._spawn(attempt.upstream.cancel(attempt.task_id))
 
+    def throttle(self, link, throttle):
+        """Ask the upstream to run one attempt with less.
+
+        Args:
+          link: The Link of the owner.
+          throttle: A Throttle.
+        """
+        _, attempt = self._ordered(throttle)
+        if attempt is not None and attempt.state == _RUNNING:
+            self._spawn(attempt.upstream.throttle(attempt.task_id))
+
     def tick(self, wall_ms):
         """Forget what is outside the window and drop what may not start.
 
@@ -429,6 +451,13 @@
             known.attempts[(index, attempt)] = promised
             self._attempts.note(audit.Kind.REJECTED, known.key, index, attempt)
 
+    def _ordered(self, order):
+        """Find the job and attempt of an order, unless a later owner has it."""
+        known = self._jobs.get(order.key)
+        if known is None or order.generation < known.fence:
+            return known, None
+        return known, known.attempts.get((order.index, order.attempt))
+
     def _follows(self, known, asked):
         """Raise the fence to the generation that asks; false when it is too low."""
         if asked.issued_ms < self._floor_ms or asked.generation < known.fence:
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -191,6 +191,30 @@
         await asyncio.gather(*(self.cancel(order) for order in orders))
         return routing.Count(len(running))
 
+    async def throttle(self, throttle):
+        """Ask the upstreams to run a job's tasks with less.
+
+        Args:
+          throttle: A routing.Throttle.
+
+        Returns:
+          A Count of the attempts concerned, or a Problem of kind UNKNOWN_JOB.
+        """
+        known = self._jobs.get(throttle.key)
+        if known is None:
+            return _unknown_job(throttle.key)
+        self._journal.record(audit.Kind.THROTTLED, known.key, reason=throttle.reason)
+        running = [
+            (holder, index, attempt)
+            for index, task in enumerate(known.tasks)
+            for attempt, holder in task.attempts.items()
+            if holder.link is not None or self.is_local(holder)
+        ]
+        for holder, index, attempt in running:
+            order = contract.Throttle(known.key, known.generation, index, attempt)
+            self._send(holder, order)
+        return routing.Count(len(running))
+
     async def list_jobs(self, asked):
         """List the jobs owned here.
 
@@ -447,12 +471,10 @@
 
     def _send(self, candidate, body):
         """Send a one-way message to the executor of a worker."""
-        if not self.is_local(candidate):
-            candidate.link.send(body)
-        elif isinstance(body, contract.Start):
-            self._executor.start(self._local, body)
+        if self.is_local(candidate):
+            self._executor.on_message(self._local, body)
         else:
-            self._executor.stop(self._local, body)
+            candidate.link.send(body)
 
     def _on_finished(self, link, finished):
         known = self._note(link, finished)
--- a/packages/dispatch/src/jujubeglade/agent/uplink.py
+++ b/packages/dispatch/src/jujubeglade/agent/uplink.py
@@ -33,6 +33,7 @@
             routing.Query: agent.home.query,
             routing.Cancel: agent.home.cancel,
             routing.CancelTenant: agent.home.cancel_tenant,
+            routing.Throttle: agent.home.throttle,
             routing.ListJobs: agent.home.list_jobs,
             audit.Ask: agent.find_records,
         }
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -16,6 +16,7 @@
 | a connection that broke | unknown                  |
 """
 
+import contextlib
 import dataclasses
 
 import aiohttp
@@ -24,7 +25,7 @@
 from jujubeglade.core import clock, contract, problem
 
 CONNECT_TIMEOUT_MS = 1000
-CANCEL_TIMEOUT_MS = 1000
+ORDER_TIMEOUT_MS = 1000
 START_BY_HEADER = "Start-By-Ms"
 DEADLINE_HEADER = "Deadline-Ms"
 _STATUS_OK = 200
@@ -155,13 +156,15 @@
         Args:
           task_id: A TaskId.
         """
-        timeout = aiohttp.ClientTimeout(total=clock.seconds(CANCEL_TIMEOUT_MS))
-        try:
-            async with self._session.delete(self._url(task_id), timeout=timeout):
-                pass
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            # The upstream goes on; its answer will be ignored.
-            pass
+        await self._order("DELETE", self._url(task_id))
+
+    async def throttle(self, task_id):
+        """Ask the upstream to run an attempt with less.
+
+        Args:
+          task_id: A TaskId.
+        """
+        await self._order("POST", f"{self._url(task_id)}/throttle")
 
     async def close(self):
         """Close the connections to this upstream."""
@@ -180,6 +183,13 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
+    async def _order(self, method, url):
+        timeout = aiohttp.ClientTimeout(total=clock.seconds(ORDER_TIMEOUT_MS))
+        # An upstream that does not take the order goes on; its answer still comes.
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self._session.request(method, url, timeout=timeout):
+                pass
+
     def _url(self, task_id):
         return f"{self.announcement.address}/tasks/{task_id}"
 
--- a/packages/dispatch/src/jujubeglade/entry/_command_cancel.py
+++ b/packages/dispatch/src/jujubeglade/entry/_command_cancel.py
@@ -1,4 +1,4 @@
-"""The commands that cancel a job, or all jobs of a tenant."""
+"""The commands that cancel or throttle jobs."""
 
 import collections
 
@@ -45,6 +45,19 @@
     return result.Ok(registry.Reply(tuple(lines), status, entry.latest.revision))
 
 
+@registry.serves(commands.ThrottleJob)
+async def throttle_job(entry, order):
+    """Have what runs of a job throttled by its upstreams."""
+    reason = f"command {order.command_id} of {order.by}"
+    key = order.command.job.split(".")[0]
+    answers = await fleet.ask(entry.membership, routing.Throttle(key, reason))
+    if not answers.bodies:
+        return result.Err(_not_found(key, answers.silent))
+    count = sum(body.value for body in answers.bodies)
+    line = f"{count} attempts of job {key} told to run with less"
+    return result.Ok(registry.Reply((line,), registry.DONE, entry.latest.revision))
+
+
 def _reply(entry, answer):
     """Describe the answer of a job after it was cancelled."""
     counts = collections.Counter(str(task.outcome) for task in answer.tasks)
--- a/packages/dispatch/src/jujubeglade/query/_builder.py
+++ b/packages/dispatch/src/jujubeglade/query/_builder.py
@@ -171,6 +171,10 @@
         """Build a CancelTenant."""
         return commands.CancelTenant(str(tenant))
 
+    def throttle(self, _throttle, _job, job):
+        """Build a ThrottleJob."""
+        return commands.ThrottleJob(str(job))
+
     def change(self, command, _if, _revision, number):
         """Add the revision that the change needs."""
         if number is None:
--- a/packages/dispatch/src/jujubeglade/query/commands.py
+++ b/packages/dispatch/src/jujubeglade/query/commands.py
@@ -4,6 +4,7 @@
 |--------------------|-------------------------------------------------------------|
 | `submit`           | Submit                                                      |
 | `cancel`           | CancelJob, CancelTenant                                     |
+| `throttle`         | ThrottleJob                                                 |
 | `drain`, `restore` | DrainZone, DrainWorker, RestoreZone, RestoreWorker          |
 | `set`              | SetQuota, SetLimit, SetRule                                 |
 | `show`             | ShowJobs, ShowWorkers, ShowZones                            |
@@ -56,6 +57,13 @@
     tenant: str
 
 
+@_record
+class ThrottleJob:
+    """Ask the upstreams to run the tasks of a job with less."""
+
+    job: str
+
+
 @_record
 class DrainZone:
     """Take an availability zone out of service."""
