--- a/features/operators.feature
+++ b/features/operators.feature
@@ -188,6 +188,9 @@
     And the metrics of the worker show
       | line                                 |
       | jujubeglade_queue_length 0           |
+      | jujubeglade_tasks_unplaced 0         |
+      | jujubeglade_tasks_retried_total 0    |
+      | jujubeglade_tasks_hedged_total 0     |
       | jujubeglade_tasks_running 0          |
       | jujubeglade_journal_records_lost 0   |
       | jujubeglade_configuration_revision 1 |
--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -48,6 +48,7 @@
 
     QUEUE = "queue_length"
     RUNNING = "tasks_running"
+    UNPLACED = "tasks_unplaced"
     PERMIT = "permit_left_ms"
     BACKLOG = "journal_backlog"
     LOST = "journal_records_lost"
@@ -73,6 +74,7 @@
 }
 _GAUGES = {
     Gauge.QUEUE: "Tasks that wait for a slot.",
+    Gauge.UNPLACED: "Tasks of jobs owned here that wait for a worker.",
     Gauge.RUNNING: "Tasks that run on the upstream.",
     Gauge.PERMIT: "Milliseconds that the permit still lasts.",
     Gauge.BACKLOG: "Audit records that no entry has stored yet.",
--- a/packages/dispatch/src/jujubeglade/agent/status.py
+++ b/packages/dispatch/src/jujubeglade/agent/status.py
@@ -66,6 +66,10 @@
         held.set(metrics.Gauge.REVISION, agent.permits.revision)
         held.set(metrics.Gauge.BACKLOG, agent.journal.backlog)
         held.set(metrics.Gauge.LOST, agent.journal.lost)
+        held.set(metrics.Gauge.UNPLACED, agent.home.scheduler.queued)
+        again = agent.home.scheduler.counts
+        held.set_count(metrics.Counter.RETRIED, again["retried"])
+        held.set_count(metrics.Counter.HEDGED, again["hedged"])
         held.set_count(metrics.Counter.STARTED, agent.executor.started)
         for reason, total in agent.executor.rejected.items():
             held.set_count(metrics.Counter.REJECTED, total, str(reason))
