--- a/features/requests.feature
+++ b/features/requests.feature
@@ -84,3 +84,8 @@
       done
       """
     And the waiting client of the site is answered "failed"
+
+  Scenario: A connection that asks for nothing is closed
+    Given an HTTP server that gives 200 ms for the first request
+    When a connection to the HTTP server sends "GET /health HTTP/1.1" and no more
+    Then the HTTP server closes it unanswered
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -7,11 +7,13 @@
 import tempfile
 
 import aiohttp
+from aiohttp import web
 from behave import given, then, when
 from typer import testing
 
 from jujubeglade.bench import loopback
 from jujubeglade.core import journal, log, ticket
+from jujubeglade.entry import http_server
 from jujubeglade.tools import main
 
 _WAIT_S = 60
@@ -344,3 +346,33 @@
         await asyncio.sleep(_POLL_S)
         _, _, body = await ask(context, "duty", "GET /v1/audit")
         found = journal.unpack(body).unwrap()
+
+
+@given("an HTTP server that gives {first_request_ms:d} ms for the first request")
+def step_server(context, first_request_ms):
+    context.runner = asyncio.Runner()
+    context.closers = [context.runner.close]
+    context.server = http_server.Server(web.Application(), lambda: 9, first_request_ms)
+    run(context, context.server.start("127.0.0.1", 0))
+    context.closers.append(lambda: run(context, context.server.close()))
+
+
+@when('a connection to the HTTP server sends "{head}" and no more')
+def step_head(context, head):
+    run(context, send_head(context, head))
+
+
+async def send_head(context, head):
+    opened = await asyncio.open_connection("127.0.0.1", context.server.port)
+    context.reader, context.writer = opened
+    context.writer.write(f"{head}\r\n".encode())
+    context.closers.append(context.writer.close)
+
+
+@then("the HTTP server closes it unanswered")
+def step_unanswered(context):
+    try:
+        answer = run(context, context.reader.read())
+    except ConnectionResetError:
+        answer = b""
+    assert answer == b"", answer
--- a/packages/dispatch/src/jujubeglade/entry/http_server.py
+++ b/packages/dispatch/src/jujubeglade/entry/http_server.py
@@ -3,6 +3,7 @@
 | bound                                 | beyond it                            |
 |---------------------------------------|--------------------------------------|
 | `max_connections` open connections    | 503 at once, and closed              |
+| 10 s until the first request is whole | closed                               |
 | `max_body_bytes` in a body            | 413                                  |
 | `max_jobs` requests in progress       | 429                                  |
 | 64 requests of operators in progress  | 429; they have a bound of their own, |
@@ -17,10 +18,11 @@
 
 from aiohttp import web
 
-from jujubeglade.core import log, problem
+from jujubeglade.core import clock, log, problem
 from jujubeglade.entry import refusals
 
 _RETRY_AFTER_MS = 500
+_FIRST_REQUEST_MS = 10_000
 _ENTITY_TOO_LARGE = 413
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
@@ -34,17 +36,30 @@
 class Server:
     """One listening port."""
 
-    __slots__ = ("_app", "_max_connections", "_runner", "_server")
+    __slots__ = (
+        "_app",
+        "_first_request_ms",
+        "_max_connections",
+        "_runner",
+        "_server",
+        "_unserved",
+    )
 
-    def __init__(self, app, max_connections):
+    def __init__(self, app, max_connections, first_request_ms=_FIRST_REQUEST_MS):
         """Prepare to serve an application.
 
         Args:
           app: An aiohttp.web.Application.
           max_connections: A function to an integer, as operators may change it.
+          first_request_ms: An integer, how long a connection may take until the head
+            of its first request is there.
         """
         self._app = app
+        self._app.middlewares.insert(0, self._note_request())
         self._max_connections = max_connections
+        self._first_request_ms = first_request_ms
+        # Connections that have not made a request yet.
+        self._unserved = set()
         self._runner = None
         self._server = None
 
@@ -73,7 +88,28 @@
     def _accept(self):
         if len(self._runner.server.connections) >= self._max_connections():
             return _TooMany()
-        return self._runner.server()
+        opened = self._runner.server()
+        self._unserved.add(opened)
+        delay = clock.seconds(self._first_request_ms)
+        asyncio.get_running_loop().call_later(delay, self._close_silent, opened)
+        return opened
+
+    def _note_request(self):
+        """Make the middleware that notes which connections make requests."""
+
+        @web.middleware
+        async def note(request, handler):
+            self._unserved.discard(request.protocol)
+            return await handler(request)
+
+        return note
+
+    def _close_silent(self, opened):
+        """Close a connection that holds a place and asks for nothing."""
+        if opened in self._unserved:
+            self._unserved.discard(opened)
+            if opened.transport is not None:
+                opened.transport.abort()
 
 
 class _TooMany(asyncio.Protocol):
