Heed what upstreams report, and one lease an upstream

Cause: an upstream's count of running tasks was read by nobody, so an agent that restarted sent to slots that its former life still filled; an upstream that announced again had its slots counted twice until the former lease ran out. Ruled out: believing one report (it lags, and would cost a slot each time a result is on its way): only what two reports in a row name counts. Before: features/upstreams.feature has 2 slots free of 2 after reports of 2, and 16 slots of 8 (by reading; the scenarios were written with the change). After: passes.

--- a/features/owners_rig.py
+++ b/features/owners_rig.py
@@ -206,7 +206,7 @@
         """Stop everything."""
         self._patch.stop()
         for each in self.agents.values():
-            each.home.close()
+            await each.home.close()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError, Exception):
--- /dev/null
+++ b/features/upstreams.feature
@@ -0,0 +1,32 @@
+Feature: Upstreams announce, renew and leave
+
+  Scenario: An upstream that announces again takes the place of its former lease
+    Given an agent and its upstream desk
+    When the upstream posts /v1/announce {"service": "parts", "address": "http://127.0.0.1:9", "slots": 8, "connections": 64, "lease_ms": 3000}
+    And the upstream posts /v1/announce {"service": "parts", "address": "http://127.0.0.1:9", "slots": 8, "connections": 64, "lease_ms": 3000}
+    Then the agent offers 8 slots
+
+  Scenario Outline: What an upstream reports beyond the agent's count takes slots once it is reported twice
+    Given an agent and its upstream desk
+    When the upstream posts /v1/announce {"service": "parts", "address": "http://127.0.0.1:9", "slots": 2, "connections": 64, "lease_ms": 3000}
+    And the upstream renews with the reports <reports>
+    Then the upstream has <state>
+
+    Examples:
+      | reports | state        |
+      | 0       | a free slot  |
+      | 2       | a free slot  |
+      | 2 2     | no free slot |
+      | 2 1     | a free slot  |
+      | 2 2 0   | a free slot  |
+
+  Scenario Outline: What is wrong is named and changes nothing
+    Given an agent and its upstream desk
+    When the upstream posts <path> <body>
+    Then the desk answers <status>: <error>
+
+    Examples:
+      | path         | body                                  | status | error                                                                                 |
+      | /v1/announce | {}                                    | 400    | body: the fields are not service, address, slots, connections, lease_ms [bad_request] |
+      | /v1/renew    | {"lease": "none"}                     | 404    | the lease is not known; announce again                                                |
+      | /v1/leave    | [1]                                   | 404    | the lease is not known; nothing is sent to it                                         |
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -166,7 +166,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self.home.close()
+        await self.home.close()
         for each in self._uplinks:
             if each.link is not None:
                 each.link.close()
--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -49,10 +49,14 @@
 
     async def renew(self, request):
         """Extend an upstream's lease."""
-        known = self._find(await _body(request))
+        fields = await _body(request)
+        known = self._find(fields)
         if known is None:
             return _error(404, "the lease is not known; announce again")
-        known.renew(self._agent.clock.now_ms())
+        running = fields.get("running", 0)
+        if type(running) is not int or running < 0:
+            return _error(400, "running is not a count; give 0 or more")
+        known.renew(self._agent.clock.now_ms(), running)
         return web.json_response({"lease": known.lease})
 
     async def leave(self, request):
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -113,6 +113,10 @@
         Args:
           upstream: An Upstream.
         """
+        for former in self._upstreams.values():
+            # An upstream that announces again has forgotten its former lease.
+            if former.announcement.address == upstream.announcement.address:
+                former.leaving = True
         self._upstreams[upstream.lease] = upstream
 
     def upstream(self, lease):
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -288,10 +288,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def close(self):
+    async def close(self):
         """Stop all tasks and close all links to workers."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for known in self._workers.values():
             if known.link is not None:
                 known.link.close()
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -77,6 +77,7 @@
         "_expires_ms",
         "_result_bytes",
         "_session",
+        "_unaccounted",
         "announcement",
         "lease",
         "leaving",
@@ -99,12 +100,16 @@
         self.running = 0
         self._expires_ms = expires_ms
         self._session = session
+        # What the last two reports named above the agent's own count.
+        self._unaccounted = (0, 0)
         self._result_bytes = result_bytes
 
     @property
     def has_free_slot(self):
         """Tell whether another task may start here."""
-        return not self.leaving and self.running < self.announcement.slots
+        # A report lags, so only what two of them name counts as taken.
+        taken = self.running + min(self._unaccounted)
+        return not self.leaving and taken < self.announcement.slots
 
     def is_live(self, now_ms):
         """Tell whether the lease still holds.
@@ -114,13 +119,19 @@
         """
         return now_ms < self._expires_ms
 
-    def renew(self, now_ms):
+    def renew(self, now_ms, running):
         """Extend the lease by its length.
 
+        What runs beyond the agent's own count was started by an earlier life of the
+        agent, or by nobody the agent knows of, and takes slots all the same.
+
         Args:
           now_ms: A number, the monotonic time.
+          running: An integer, how many tasks run, as the upstream reports.
         """
         self._expires_ms = now_ms + self.announcement.lease_ms
+        excess = max(0, running - self.running)
+        self._unaccounted = (self._unaccounted[1], excess)
 
     async def call(self, task_id, payload, start_by_ms, deadline_ms):
         """Run one attempt.
