Measure response, messages, zones, refusals, costs and slopes

Processes under observation run the product; only their counters are added. `make bench`, `make compare` and `make capacity` run it.

Ruled out: targets from measured figures (all are the users' or follow from their words); response against the ideal alone, which mixes what load does with what the system adds, so that a cost-free queue over the same arrivals stands beside it; counting a task of a Start as a message.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 120
 SEED ?= 1
 
-.PHONY: setup demo test lint format docs check-model
+.PHONY: setup demo test lint format docs check-model bench compare capacity
 
 setup: $(VENV)/ready
 
@@ -34,3 +34,14 @@
 
 docs: setup
 	$(BIN)/python -m jujubeglade.core.settings_page > docs/SETTINGS.md
+
+# One scenario: make bench RUN=load80. Longer: make bench OPTIONS=--full.
+bench: setup
+	$(BIN)/python -m jujubeglade.bench $(RUN) --seed $(SEED) $(OPTIONS)
+
+compare: setup
+	$(BIN)/python -m jujubeglade.bench compare-placement compare-queueing compare-homes
+
+capacity: setup
+	$(BIN)/python -m jujubeglade.bench capacity-fleet capacity-entries \
+		capacity-tasks capacity-memory capacity-changes
--- a/packages/bench/src/jujubeglade/bench/cluster.py
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -55,6 +55,8 @@
       service: A string, the service of all upstreams.
       limits: A mapping, the limits of every settings file.
       relays: A boolean, whether links between processes go through relays.
+      program: A string, the module that entries and agents run.
+      choices: A mapping, what `jujubeglade.bench.observed` is told.
     """
 
     zones: tuple[str, ...] = ("a", "b", "c")
@@ -65,6 +67,8 @@
     service: str = "parts"
     limits: dict = dataclasses.field(default_factory=dict)
     relays: bool = False
+    program: str = "jujubeglade.daemon.main"
+    choices: dict = dataclasses.field(default_factory=dict)
 
 
 #: The deployments of the two users.
@@ -240,6 +244,30 @@
         ):
             reply.raise_for_status()
 
+    async def counts(self, names=None):
+        """Read what observed processes have sent so far.
+
+        Args:
+          names: A sequence of strings; None reads all entries and workers.
+
+        Returns:
+          A dict from the name of a process to a dict of `messages` and `bytes`,
+          both by type of message. Processes that do not run are left out.
+        """
+        names = names or (*self.entry_names, *self.worker_names)
+        running = [name for name in names if self.processes[name].returncode is None]
+        paths = {name: self.folder / f"{name}.counts" for name in running}
+        for name, path in paths.items():
+            path.unlink(missing_ok=True)
+            self.processes[name].send_signal(signal.SIGUSR1)
+        async with asyncio.timeout(clock.seconds(_READY_MS)):
+            while not all(path.exists() for path in paths.values()):
+                await asyncio.sleep(clock.seconds(_POLL_MS))
+        return {
+            name: json.loads(path.read_text(encoding="utf-8"))
+            for name, path in paths.items()
+        }
+
     def started(self):
         """Read the starts that the upstreams wrote down.
 
@@ -288,6 +316,8 @@
         for name in self.entry_names:
             self._write_settings(name, self._entry_settings(name))
         berths = [self._lay_out_worker(name) for name in self.worker_names]
+        choices = self.folder / "observed.json"
+        choices.write_text(json.dumps(self.shape.choices), encoding="utf-8")
         path = self.folder / "fleet.json"
         path.write_text(json.dumps(berths), encoding="utf-8")
         self._commands["upstreams"] = ("-m", "jujubeglade.fakes.fleet", str(path))
@@ -357,7 +387,7 @@
     def _write_settings(self, name, fields):
         path = self.folder / f"{name}.json5"
         path.write_text(json.dumps(fields, indent=2), encoding="utf-8")
-        self._commands[name] = ("-m", "jujubeglade.daemon.main", str(path))
+        self._commands[name] = ("-m", self.shape.program, str(path))
 
 
 @contextlib.asynccontextmanager
