--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from jujubeglade.bench import capacity, client, ideal, judge, load, report
+from jujubeglade.bench import capacity, client, ideal, load, report, tally
 from jujubeglade.fakes import upstream
 
 
@@ -80,7 +80,7 @@
 
 @then("the bench's judge finds {d:d} doubled, {u:d} untrue and {i:d} inexact")
 def step_judged(context, d, u, i):
-    found = judge.judge([context.arrival], [context.ending], context.started)
+    found = tally.compare([context.arrival], [context.ending], context.started)
     assert (found.doubled, found.untrue, found.inexact) == (d, u, i), found
 
 
--- a/packages/bench/src/jujubeglade/bench/run.py
+++ b/packages/bench/src/jujubeglade/bench/run.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from jujubeglade.bench import client, cluster, judge
+from jujubeglade.bench import client, cluster, tally
 
 OBSERVED = "jujubeglade.bench.observed"
 _DEADLINE_MS = 30_000
@@ -36,7 +36,7 @@
       processor_ms: A dict from the name of a process to a number.
       resident_kib: A dict from the name of a process to an integer.
       store_calls: A Counter, by kind.
-      verdict: A judge.Verdict.
+      verdict: A tally.Verdict.
     """
 
     arrivals: list
@@ -49,7 +49,7 @@
     processor_ms: dict
     resident_kib: dict
     store_calls: collections.Counter
-    verdict: judge.Verdict
+    verdict: tally.Verdict
 
     @property
     def tasks(self):
@@ -106,7 +106,7 @@
         processor_grown(before, after),
         after["resident_kib"],
         after["store"] - before["store"],
-        judge.judge(arrivals, endings, started),
+        tally.compare(arrivals, endings, started),
     )
 
 
--- a/packages/bench/src/jujubeglade/bench/judge.py
+++ b/packages/bench/src/jujubeglade/bench/tally.py
@@ -1,4 +1,4 @@
-"""The judge: whether what clients were told agrees with what upstreams saw.
+"""The tally: whether what clients were told agrees with what upstreams saw.
 
 | fault      | what it means                                                    |
 |------------|------------------------------------------------------------------|
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
-    """What the judge found.
+    """What the comparison found.
 
     Attributes:
       doubled: An integer, tasks.
@@ -38,7 +38,7 @@
         return self.doubled + self.untrue + self.inexact
 
 
-def judge(arrivals, endings, started):
+def compare(arrivals, endings, started):
     """Compare answers with starts.
 
     Args:
