Keep the verdict the last line of the test run

Cause: a formatter reopened standard output, and wrote over the closing line when that was a file. Ruled out: buffering; the line was written and then overwritten. Before: no closing line in a redirected run. After: it is the last one.

--- a/features/run.py
+++ b/features/run.py
@@ -45,7 +45,8 @@
     """
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "report.json"
-        arguments = ["-f", "progress", "-f", "json", "-o", "/dev/stdout", "-o", path]
+        # The first format goes to the file, the second to standard output.
+        arguments = ["-f", "json", "-o", path, "-f", "progress"]
         command = [sys.executable, "-m", "behave", *arguments, *sys.argv[1:]]
         status = subprocess.run(command, cwd=ROOT, check=False).returncode
         report = json.loads(path.read_text(encoding="utf-8") or "[]")
