Prove the promises under failure with real processes

Cause: the promises were shown for single parts only. Callers now submit, resubmit and cancel over a cluster behind relays while processes, links and the store fail, and the judge reads what upstreams saw.

--- /dev/null
+++ b/features/failures.feature
@@ -0,0 +1,66 @@
+Feature: Promises hold while processes, links and the store fail
+
+  Real processes behind relays: five workers in three zones, three entries, a store and
+  upstreams that write down each start. Callers submit until they have a final answer,
+  some twice at once, some cancel. The judge compares starts and answers; the faults are
+  those of jujubeglade.bench.faults, each past every timeout in its way.
+
+  Scenario: A resubmission at any moment starts nothing again
+    Given the cluster of failures
+    When callers go on for 3000 ms while nothing, seed 1
+    Then the judge of failures finds nothing
+    And nothing was started again
+
+  Scenario Outline: A graceful shutdown cuts nothing
+    Given the cluster of failures
+    When patient callers go on for 1000 ms while <fault>, seed <seed>
+    Then the judge of failures finds nothing
+    And nothing was started again
+    And no request was cut and no job failed
+
+    Examples:
+      | fault                                   | seed |
+      | terminate a worker                      | 2    |
+      | terminate an entry                      | 3    |
+      | terminate a worker + terminate an entry | 4    |
+
+  Scenario Outline: Callers are told the truth while one thing fails
+    Given the cluster of failures
+    When callers go on for 1000 ms while <fault>, seed <seed>
+    Then the judge of failures finds nothing
+
+    Examples:
+      | fault                       | seed |
+      | kill a worker               | 11   |
+      | kill an entry               | 12   |
+      | freeze a worker             | 13   |
+      | freeze an entry             | 14   |
+      | cut a worker off            | 15   |
+      | nothing reaches a worker    | 16   |
+      | a worker's answers are held | 17   |
+
+  Scenario Outline: Callers are told the truth while two things fail
+    Given the cluster of failures
+    When callers go on for 1000 ms while <fault>, seed <seed>
+    Then the judge of failures finds nothing
+
+    Examples:
+      | fault                                                           | seed |
+      | kill a worker + store down                                      | 31   |
+      | kill a worker + kill an entry                                   | 32   |
+      | freeze a worker + cut a worker from workers                     | 33   |
+      | cut an entry from entries + a worker's words to entries are held| 34   |
+      | entries' words to a worker are held + store slow                | 35   |
+      | operators race + store answers lost                             | 36   |
+
+  Scenario Outline: Nothing starts where it may not any more
+    Given the cluster of failures
+    When callers go on for 1000 ms while <fault>, seed <seed>
+    Then the judge of failures finds nothing
+
+    Examples:
+      | fault                                                    | seed |
+      | drain a zone + an upstream leaves                        | 41   |
+      | a worker sleeps through a drain                          | 42   |
+      | a worker is deaf to a drain + store slow + kill an entry | 43   |
+      | a drain outlasts the store and restarts                  | 44   |
--- a/packages/bench/src/jujubeglade/bench/cluster.py
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -56,6 +56,7 @@
       limits: A mapping, the limits of every settings file.
       relays: A boolean, whether links between processes go through relays.
       program: A string, the module that entries and agents run.
+      arguments: A tuple of strings, what the program is told before its settings.
       choices: A mapping, what `jujubeglade.bench.observed` is told.
     """
 
@@ -68,6 +69,7 @@
     limits: dict = dataclasses.field(default_factory=dict)
     relays: bool = False
     program: str = "jujubeglade.daemon.main"
+    arguments: tuple[str, ...] = ()
     choices: dict = dataclasses.field(default_factory=dict)
 
 
@@ -387,7 +389,12 @@
     def _write_settings(self, name, fields):
         path = self.folder / f"{name}.json5"
         path.write_text(json.dumps(fields, indent=2), encoding="utf-8")
-        self._commands[name] = ("-m", self.shape.program, str(path))
+        self._commands[name] = (
+            "-m",
+            self.shape.program,
+            *self.shape.arguments,
+            str(path),
+        )
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/packages/bench/src/jujubeglade/bench/faults.py
@@ -0,0 +1,290 @@
+"""Faults of a running cluster, by name; each one heals what it breaks.
+
+    await faults.inject("freeze a worker", held)
+    await faults.inject("kill a worker + store down", held)    # both at once
+
+A name is registered by the decorator. Each fault lasts past every timeout that stands
+in its way: `_LONG_MS`.
+"""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+from jujubeglade.bench import cluster, judge, traffic
+from jujubeglade.core import clock
+from jujubeglade.fakes import wire
+
+_LONG_MS = 4000
+_SHORT_MS = 1000
+_DRAIN_MS = 6500
+_DRAINED_MS = 2500
+_SLOW_MS = 1500
+
+#: Coroutine functions of a Scene, by the fault's name.
+FAULTS = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scene:
+    """Where faults happen.
+
+    Attributes:
+      cluster: A Cluster whose shape has relays.
+      traffic: A Traffic, whose operators a fault may use.
+      random: A random.Random, which chooses the victims.
+    """
+
+    cluster: cluster.Cluster
+    traffic: traffic.Traffic
+    random: random.Random
+
+    def worker(self):
+        """Choose a worker; return its name."""
+        return self.random.choice(self.cluster.worker_names)
+
+    def entry(self):
+        """Choose an entry; return its name."""
+        return self.random.choice(self.cluster.entry_names)
+
+
+def fault(name):
+    """Register a coroutine function under the name of a fault.
+
+    Args:
+      name: A string.
+
+    Returns:
+      A decorator.
+    """
+
+    def register(function):
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+async def inject(names, scene):
+    """Let faults happen at once, and heal.
+
+    Args:
+      names: A string, names of faults joined by ` + `.
+      scene: A Scene.
+    """
+    chosen = [FAULTS[name] for name in names.split(" + ")]
+    await asyncio.gather(*(each(scene) for each in chosen))
+
+
+@fault("nothing")
+async def _nothing(scene):
+    await _last(_SHORT_MS)
+
+
+@fault("kill a worker")
+async def _kill_worker(scene):
+    await _kill(scene, scene.worker())
+
+
+@fault("kill an entry")
+async def _kill_entry(scene):
+    await _kill(scene, scene.entry())
+
+
+@fault("terminate a worker")
+async def _terminate_worker(scene):
+    await _terminate(scene, scene.worker())
+
+
+@fault("terminate an entry")
+async def _terminate_entry(scene):
+    await _terminate(scene, scene.entry())
+
+
+@fault("freeze a worker")
+async def _freeze_worker(scene):
+    await _freeze(scene, scene.worker())
+
+
+@fault("freeze an entry")
+async def _freeze_entry(scene):
+    await _freeze(scene, scene.entry())
+
+
+@fault("cut a worker off")
+async def _cut_worker(scene):
+    await _cut(scene.cluster.relays_of(scene.worker()))
+
+
+@fault("cut a worker from workers")
+async def _cut_between_workers(scene):
+    await _cut([scene.cluster.relays["*", scene.worker()]])
+
+
+@fault("cut an entry from entries")
+async def _cut_entry(scene):
+    names = scene.cluster.entry_names
+    victim = scene.entry()
+    relays = scene.cluster.relays
+    await _cut([relays[p] for p in relays if victim in p and set(p) <= set(names)])
+
+
+@fault("nothing reaches a worker")
+async def _deaf_worker(scene):
+    victim = scene.worker()
+    relays = scene.cluster.relays
+    await _hold([relays["*", victim]], wire.FORWARD)
+
+
+@fault("a worker's answers are held")
+async def _mute_worker(scene):
+    await _hold([scene.cluster.relays["*", scene.worker()]], wire.BACKWARD)
+
+
+@fault("a worker's words to entries are held")
+async def _mute_uplinks(scene):
+    victim = scene.worker()
+    relays = scene.cluster.relays
+    await _hold([relays[p] for p in relays if p[0] == victim], wire.FORWARD)
+
+
+@fault("entries' words to a worker are held")
+async def _deaf_uplinks(scene):
+    victim = scene.worker()
+    relays = scene.cluster.relays
+    await _hold([relays[p] for p in relays if p[0] == victim], wire.BACKWARD)
+
+
+@fault("store down")
+async def _store_down(scene):
+    await scene.cluster.set_store(down=True)
+    await _last(_LONG_MS)
+    await scene.cluster.set_store(down=False)
+
+
+@fault("store slow")
+async def _store_slow(scene):
+    await scene.cluster.set_store(delay_ms=_SLOW_MS)
+    await _last(_LONG_MS)
+    await scene.cluster.set_store(delay_ms=0)
+
+
+@fault("store answers lost")
+async def _store_lossy(scene):
+    await scene.cluster.set_store(lose_answers=3)
+    await _last(_SHORT_MS)
+
+
+@fault("store leases lapse")
+async def _store_lapse(scene):
+    await scene.cluster.set_store(lapse_leases=True)
+    await _last(_SHORT_MS)
+
+
+@fault("an upstream leaves")
+async def _upstream_leaves(scene):
+    victim = scene.worker()
+    await scene.cluster.set_upstream(victim, leave=True)
+    begin_ms = _wall_ms()
+    await _last(_DRAIN_MS)
+    scene.traffic.leaves.append(judge.Absence(victim, begin_ms, _wall_ms()))
+    await scene.cluster.set_upstream(victim, leave=False)
+
+
+@fault("drain a zone")
+async def _drain(scene):
+    zone = scene.random.choice(scene.cluster.shape.zones)
+    await scene.traffic.drain(zone, _DRAIN_MS)
+
+
+@fault("a drain outlasts the store and restarts")
+async def _drain_in_outage(scene):
+    zone = scene.random.choice(scene.cluster.shape.zones)
+    draining = asyncio.create_task(scene.traffic.drain(zone, 2 * _DRAIN_MS))
+    await _last(_DRAINED_MS)
+    await scene.cluster.set_store(down=True)
+    # The drain has been in force everywhere when processes restart.
+    await _last(_DRAIN_MS)
+    members = [
+        w for w in scene.cluster.worker_names if scene.cluster.zone_of(w) == zone
+    ]
+    await asyncio.gather(_kill(scene, members[0]), _kill(scene, scene.entry()))
+    await _last(_SHORT_MS)
+    await scene.cluster.set_store(down=False)
+    await draining
+
+
+@fault("a worker sleeps through a drain")
+async def _drain_frozen(scene):
+    victim = scene.worker()
+    scene.cluster.freeze(victim)
+    zone = scene.cluster.zone_of(victim)
+    draining = asyncio.create_task(scene.traffic.drain(zone, _DRAIN_MS + _SHORT_MS))
+    await _last(_DRAIN_MS)
+    scene.cluster.wake(victim)
+    await draining
+
+
+@fault("a worker is deaf to a drain")
+async def _drain_deaf(scene):
+    victim = scene.worker()
+    relays = scene.cluster.relays
+    uplinks = [relays[pair] for pair in relays if pair[0] == victim]
+    for relay in uplinks:
+        relay.hold(wire.BACKWARD)
+    await scene.traffic.drain(scene.cluster.zone_of(victim), _DRAIN_MS)
+    for relay in uplinks:
+        relay.heal()
+
+
+@fault("operators race")
+async def _race(scene):
+    zones = scene.cluster.shape.zones
+    texts = [f"{verb} zone {zones[-1]}" for verb in ("drain", "restore") * 3]
+    await asyncio.gather(*(scene.traffic.operate(text) for text in texts))
+    while await scene.traffic.operate(f"restore zone {zones[-1]}") == "conflict":
+        await _last(_SHORT_MS)
+
+
+async def _kill(scene, name):
+    scene.cluster.kill(name)
+    await scene.cluster.processes[name].wait()
+    await _last(_SHORT_MS)
+    await scene.cluster.start_process(name)
+
+
+async def _terminate(scene, name):
+    status = await scene.cluster.terminate(name)
+    assert status == 0, f"{name} ended with {status}"
+    await scene.cluster.start_process(name)
+
+
+async def _freeze(scene, name):
+    scene.cluster.freeze(name)
+    await _last(_LONG_MS)
+    scene.cluster.wake(name)
+
+
+async def _cut(relays):
+    for relay in relays:
+        relay.cut()
+    await _last(_LONG_MS)
+    for relay in relays:
+        relay.heal()
+
+
+async def _hold(relays, direction):
+    for relay in relays:
+        relay.hold(direction)
+    await _last(_LONG_MS)
+    for relay in relays:
+        relay.heal()
+
+
+async def _last(duration_ms):
+    await asyncio.sleep(clock.seconds(duration_ms))
+
+
+def _wall_ms():
+    return time.time_ns() // 1_000_000
--- a/packages/bench/src/jujubeglade/fakes/upstream.py
+++ b/packages/bench/src/jujubeglade/fakes/upstream.py
@@ -6,6 +6,7 @@
     {"ms": 200, "value": 7}           runs 200 ms and answers {"value": 7}
     set_faults(fail=True)             answers 500 at once
     set_faults(slow_factor=10)        takes ten times as long
+    set_leaving(True)                 leaves its agent; False announces it again
 
 Its log is one JSON object a start: time, job, index, attempt, zone, name.
 """
@@ -74,7 +75,9 @@
         self.throttled = set()
         self.refused_late = 0
         self.fail = False
+        self.leaving = False
         self.slow_factor = 1
+        self._agent_address = None
         self._log = None
         self._running = {}
         self._lease = None
@@ -108,6 +111,7 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", port).start()
         self._session = aiohttp.ClientSession()
+        self._agent_address = agent_address
         self._announcing = asyncio.create_task(self._announce(agent_address))
 
     async def leave(self, agent_address):
@@ -119,6 +123,17 @@
         self._announcing.cancel()
         await self._post(agent_address, "/v1/leave", {"lease": self._lease})
 
+    async def set_leaving(self, leaving):
+        """Leave the agent gracefully while it stays, or come back.
+
+        Args:
+          leaving: A boolean.
+        """
+        self.leaving = leaving
+        if leaving and self._lease is not None:
+            lease, self._lease = self._lease, None
+            await self._post(self._agent_address, "/v1/leave", {"lease": lease})
+
     async def close(self):
         """Close the port and stop announcing."""
         if self._announcing is not None:
@@ -147,7 +162,9 @@
         while True:
             wait = _RETRY_SECONDS
             try:
-                if self._lease is None:
+                if self.leaving:
+                    given = {}
+                elif self._lease is None:
                     given = await self._post(agent_address, "/v1/announce", fields)
                 else:
                     body = {"lease": self._lease, "running": len(self._running)}
@@ -203,7 +220,11 @@
         return web.Response(status=204)
 
     async def _control(self, request):
-        self.set_faults(**await request.json())
+        faults = await request.json()
+        if "leave" in faults:
+            await self.set_leaving(faults.pop("leave"))
+        if faults:
+            self.set_faults(**faults)
         return web.json_response({})
 
     async def _show(self, request):
