Answer what an entry has just accepted before it closes

Cause: an entry that leaves closed its listener and, at once, the connections whose request had not been read yet; a caller saw "Server disconnected". Ruled out: the gate, which counts only requests that have been read.

--- a/packages/dispatch/src/jujubeglade/entry/http_server.py
+++ b/packages/dispatch/src/jujubeglade/entry/http_server.py
@@ -23,6 +23,7 @@
 
 _RETRY_AFTER_MS = 500
 _FIRST_REQUEST_MS = 10_000
+_LAST_REQUESTS_MS = 100
 _ENTITY_TOO_LARGE = 413
 _NOT_FOUND = 404
 _METHOD_NOT_ALLOWED = 405
@@ -81,8 +82,12 @@
         self._server = await loop.create_server(self._accept, host, port)
 
     async def close(self):
-        """Stop listening and close all connections."""
+        """Stop listening and close all connections.
+
+        A connection that was just accepted gets the time to be answered.
+        """
         self._server.close()
+        await asyncio.sleep(clock.seconds(_LAST_REQUESTS_MS))
         await self._runner.cleanup()
 
     def _accept(self):
