Count starts with hedging off, and cut each worker off in turn

One mutant (a successor that places before it claims) went unnoticed when the one victim was no home; each worker is now cut off in turn, in the failure feature too.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -3,16 +3,17 @@
   Real processes behind relays: five workers in three zones, three entries, a store and
   upstreams that write down each start. Callers submit until they have a final answer,
   some twice at once, some cancel. The judge compares starts and answers; the faults are
-  those of jujubeglade.bench.faults, each past every timeout in its way.
+  those of jujubeglade.bench.faults, each past every timeout in its way. Hedging, which
+  starts a late repeatable task on a second worker, is off where every start is counted.
 
   Scenario: A resubmission at any moment starts nothing again
-    Given the cluster of failures
+    Given the cluster of failures with hedging off
     When callers go on for 3000 ms while nothing, seed 1
     Then the judge of failures finds nothing
     And nothing was started again
 
   Scenario Outline: A graceful shutdown cuts nothing
-    Given the cluster of failures
+    Given the cluster of failures with hedging off
     When patient callers go on for 1000 ms while <fault>, seed <seed>
     Then the judge of failures finds nothing
     And nothing was started again
@@ -25,7 +26,7 @@
       | terminate a worker + terminate an entry | 4    |
 
   Scenario Outline: Callers are told the truth while one thing fails
-    Given the cluster of failures
+    Given the cluster of failures with hedging late
     When callers go on for 1000 ms while <fault>, seed <seed>
     Then the judge of failures finds nothing
 
@@ -36,11 +37,12 @@
       | freeze a worker             | 13   |
       | freeze an entry             | 14   |
       | cut a worker off            | 15   |
+      | each worker is cut off in turn | 18 |
       | nothing reaches a worker    | 16   |
       | a worker's answers are held | 17   |
 
   Scenario Outline: Callers are told the truth while two things fail
-    Given the cluster of failures
+    Given the cluster of failures with hedging late
     When callers go on for 1000 ms while <fault>, seed <seed>
     Then the judge of failures finds nothing
 
@@ -54,7 +56,7 @@
       | operators race + store answers lost                             | 36   |
 
   Scenario Outline: Nothing starts where it may not any more
-    Given the cluster of failures
+    Given the cluster of failures with hedging late
     When callers go on for 1000 ms while <fault>, seed <seed>
     Then the judge of failures finds nothing
 
--- a/features/mutants.feature
+++ b/features/mutants.feature
@@ -9,7 +9,7 @@
 
     Examples:
       | rule                                   | fault                     | ms   | seed | kind           |
-      | a successor claims before it places    | cut a worker off          | 1000 | 1    | double         |
+      | a successor claims before it places    | each worker is cut off in turn | 1000 | 1    | double         |
       | what may have run is not placed again  | freeze a worker           | 1000 | 2    | double         |
       | not run is said only after a close     | kill a worker             | 1000 | 4    | false_not_run  |
       | a complete answer has every task       | nothing                   | 1000 | 5    | partial        |
--- a/features/steps/failures_steps.py
+++ b/features/steps/failures_steps.py
@@ -29,6 +29,7 @@
         self._closing = contextlib.AsyncExitStack()
         starting = self._closing.enter_async_context(cluster.start(shape))
         self.cluster = self.run(starting)
+        self.hedging = None
 
     def run(self, coroutine):
         waiting = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
@@ -61,12 +62,17 @@
     await asyncio.sleep(_LEAD_S)
 
 
-@given("the cluster of failures")
-def _given_cluster(context):
+@given("the cluster of failures with hedging {choice}")
+def _given_cluster(context, choice):
     if not hasattr(context.feature, "stage"):
         context.feature.stage = _Stage(_SHAPE)
         context.feature.closers = [context.feature.stage.close]
     context.stage = context.feature.stage
+    if context.stage.hedging != choice:
+        operators = traffic.Traffic(context.stage.cluster, 0)
+        answer = context.stage.run(operators.operate(f"set rule hedging {choice}"))
+        assert answer == "in_force", answer
+        context.stage.hedging = choice
 
 
 @given("a cluster of failures without the rule that {rule}")
--- a/packages/bench/src/jujubeglade/bench/faults.py
+++ b/packages/bench/src/jujubeglade/bench/faults.py
@@ -18,6 +18,7 @@
 
 _LONG_MS = 4000
 _SHORT_MS = 1000
+_BRIEF_MS = 400
 _DRAIN_MS = 6500
 _DRAINED_MS = 2500
 _SLOW_MS = 1500
@@ -117,6 +118,13 @@
     await _cut(scene.cluster.relays_of(scene.worker()))
 
 
+@fault("each worker is cut off in turn")
+async def _cut_in_turn(scene):
+    for name in scene.cluster.worker_names:
+        await _cut(scene.cluster.relays_of(name), _BRIEF_MS)
+        await _last(_BRIEF_MS)
+
+
 @fault("cut a worker from workers")
 async def _cut_between_workers(scene):
     await _cut([scene.cluster.relays["*", scene.worker()]])
@@ -266,10 +274,10 @@
     scene.cluster.wake(name)
 
 
-async def _cut(relays):
+async def _cut(relays, duration_ms=_LONG_MS):
     for relay in relays:
         relay.cut()
-    await _last(_LONG_MS)
+    await _last(duration_ms)
     for relay in relays:
         relay.heal()
 
