Record how tasks ended, and in the order in which it happened

Ruled out: a record for each start or permit (bytes); `finished` by executors, which the upstreams' own logs tell better. Before: no ends. After: ends in `answered`, `repeatable` in `accepted`, the permit of the last start in `started`; a job's starts are recorded before its `closed` or `fenced`, all starts before a new revision. Start-By is now taken when the permit is checked, not a turn of the loop later. Upstreams log what they answered. Conclusion: records of one process now stand in the order of its acts.

--- a/packages/bench/src/jujubeglade/bench/cluster.py
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -274,11 +274,15 @@
         Returns:
           A list of upstream.Started, in the order of time.
         """
-        found = []
-        for path in self.folder.glob("*.starts"):
-            for line in path.read_text(encoding="utf-8").splitlines():
-                found.append(upstream.Started(**json.loads(line)))
-        return sorted(found, key=lambda each: each.wall_ms)
+        return self._read_logs("*.starts")
+
+    def ended(self):
+        """Read which of their starts the upstreams have answered.
+
+        Returns:
+          A list of upstream.Started with the times of the answers, in their order.
+        """
+        return self._read_logs("*.ends")
 
     async def stop(self):
         """End every process that this cluster started."""
@@ -299,6 +303,13 @@
         for relay in self.relays.values():
             await relay.close()
 
+    def _read_logs(self, pattern):
+        found = []
+        for path in self.folder.glob(pattern):
+            for line in path.read_text(encoding="utf-8").splitlines():
+                found.append(upstream.Started(**json.loads(line)))
+        return sorted(found, key=lambda each: each.wall_ms)
+
     async def _wait_entry(self, session, name, workers):
         if self.processes[name].returncode is not None:
             return
--- a/packages/bench/src/jujubeglade/fakes/upstream.py
+++ b/packages/bench/src/jujubeglade/fakes/upstream.py
@@ -7,7 +7,8 @@
     set_faults(fail=True)             answers 500 at once
     set_faults(slow_factor=10)        takes ten times as long
 
-Its log is one JSON object a start: time, job, index, attempt, zone, name.
+Its log is one JSON object a start: time, job, index, attempt, zone, name. Beside it,
+with the ending `.ends`, stands one of the same form for each task that it answered.
 """
 
 import argparse
@@ -39,6 +40,7 @@
       zone: A string.
       name: A string, of this upstream.
       tag: A string, what the payload calls itself.
+      start_by_ms: An integer, the wall time after which it was not to begin.
     """
 
     wall_ms: int
@@ -48,6 +50,7 @@
     zone: str
     name: str
     tag: str
+    start_by_ms: int = 0
 
 
 class FakeUpstream:
@@ -69,6 +72,8 @@
         self.slots = slots
         self.connections = connections
         self.started = []
+        # What was answered after its start, whatever the answer.
+        self.ended = []
         self.finished = 0
         self.cancelled = 0
         self.throttled = set()
@@ -175,7 +180,12 @@
             return web.Response(status=412, text="too late to start")
         payload = json.loads(body) or {}
         task_id = request.match_info["id"]
-        self._note(task_id, wall_ms, payload)
+        started = self._note(task_id, wall_ms, payload, late_ms)
+        reply = await self._work(task_id, payload)
+        self._note_end(started)
+        return reply
+
+    async def _work(self, task_id, payload):
         if self.fail:
             return web.Response(status=500, text="this upstream fails every task")
         run_ms = payload.get("ms", _DEFAULT_RUN_MS) * self.slow_factor
@@ -209,7 +219,7 @@
     async def _show(self, request):
         return web.json_response([dataclasses.asdict(each) for each in self.started])
 
-    def _note(self, task_id, wall_ms, payload):
+    def _note(self, task_id, wall_ms, payload, start_by_ms):
         matched = _TASK_ID.fullmatch(task_id)
         started = Started(
             wall_ms,
@@ -219,11 +229,22 @@
             self.zone,
             self.name,
             str(payload.get("tag", "")),
+            start_by_ms,
         )
         self.started.append(started)
+        self._write(self._log, started)
+        return started
+
+    def _note_end(self, started):
+        ended = dataclasses.replace(started, wall_ms=time.time_ns() // 1_000_000)
+        self.ended.append(ended)
         if self._log is not None:
-            with self._log.open("a", encoding="utf-8") as log:
-                log.write(json.dumps(dataclasses.asdict(started)) + "\n")
+            self._write(self._log.with_suffix(".ends"), ended)
+
+    def _write(self, path, noted):
+        if path is not None:
+            with path.open("a", encoding="utf-8") as log:
+                log.write(json.dumps(dataclasses.asdict(noted)) + "\n")
 
 
 async def _serve(chosen):
--- a/packages/core/src/jujubeglade/core/_journal_attempts.py
+++ b/packages/core/src/jujubeglade/core/_journal_attempts.py
@@ -15,13 +15,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _Group:
-    """Attempts of one kind and job that are not recorded yet."""
+    """Attempts of one kind and job that are not recorded yet.
+
+    `permit` holds what the last start ran under, for the record's detail.
+    """
 
     began_ms: float
     touched_ms: float
     first_ms: int
     last_ms: int
     attempts: list
+    permit: dict
 
 
 class AttemptLog:
@@ -35,7 +39,7 @@
         self._clock = clock
         self._groups = {}
 
-    def note(self, kind, job, index, attempt):
+    def note(self, kind, job, index, attempt, **permit):
         """Note an attempt; never waits and never fails.
 
         Args:
@@ -43,14 +47,16 @@
           job: A string, the job key.
           index: An integer, the task's place in the job.
           attempt: An integer, the number of the attempt.
+          **permit: Of a start, `permit_revision` and `permit_until_ms`.
         """
         now_ms = self._clock.now_ms()
         wall_ms = self._clock.wall_ms()
         group = self._groups.get((kind, job))
         if group is None:
-            group = _Group(now_ms, now_ms, wall_ms, wall_ms, [])
+            group = _Group(now_ms, now_ms, wall_ms, wall_ms, [], permit)
             self._groups[kind, job] = group
         group.attempts.append((index, attempt))
+        group.permit = permit
         group.touched_ms = now_ms
         group.last_ms = wall_ms
 
@@ -66,6 +72,15 @@
         for place in due:
             self._flush(place)
 
+    def flush_job(self, job):
+        """Record what is noted of a job, before a record that must come after it.
+
+        Args:
+          job: A string, the job key.
+        """
+        for place in [place for place in self._groups if place[1] == job]:
+            self._flush(place)
+
     def flush_all(self):
         """Record everything, before the journal is closed."""
         for place in list(self._groups):
@@ -81,6 +96,7 @@
             attempts=_journal_tasks.pack_attempts(group.attempts),
             first_ms=group.first_ms,
             last_ms=group.last_ms,
+            **group.permit,
         )
 
 
--- a/packages/core/src/jujubeglade/core/_journal_explain.py
+++ b/packages/core/src/jujubeglade/core/_journal_explain.py
@@ -21,7 +21,18 @@
 _TASK = re.compile(r"(?P<job>.+)-(?P<index>\d+)\.(?P<attempt>\d+)")
 _FINAL_KINDS = frozenset({"answered", "refused", "command", "drained", "restored"})
 _ATTEMPT_KINDS = frozenset({"started", "rejected", "finished"})
-_OWN_WORDS = frozenset({"ends", "legend", "attempts", "first_ms", "last_ms"})
+_OWN_WORDS = frozenset(
+    {
+        "ends",
+        "legend",
+        "attempts",
+        "first_ms",
+        "last_ms",
+        "permit_revision",
+        "permit_until_ms",
+        "repeatable",
+    }
+)
 _TIMED_KINDS = frozenset({"gap", "missing", "tail"})
 _PHRASES = {
     _journal_record.Kind.REFUSED: "refused a request for",
--- a/packages/core/src/jujubeglade/core/_journal_tasks.py
+++ b/packages/core/src/jujubeglade/core/_journal_tasks.py
@@ -8,7 +8,7 @@
 
 says that tasks 0, 1 and 3 ran on agent-1/aa at their first attempt and task 2
 may have run on agent-2/bb at its second. Attempts are ranges of indexes, the
-attempt behind a dot: `0-8.1 12.2`.
+attempt behind a dot: `0-8.1 12.2`. Sets of tasks are ranges alone: `0-8 12`.
 """
 
 import dataclasses
@@ -105,6 +105,32 @@
         return ()
 
 
+def pack_indexes(indexes):
+    """Encode a set of tasks.
+
+    Args:
+      indexes: An iterable of integers, the places of the tasks.
+
+    Returns:
+      A string of ranges such as `0-8 12`.
+    """
+    return pack_attempts((index, 0) for index in indexes).replace(".0", "")
+
+
+def unpack_indexes(text):
+    """Decode a set of tasks.
+
+    Args:
+      text: A string that `pack_indexes` made.
+
+    Returns:
+      A frozenset of integers; empty when the text was altered so that it can't be
+      read.
+    """
+    attempts = unpack_attempts(" ".join(f"{part}.0" for part in text.split()))
+    return frozenset(index for index, _ in attempts)
+
+
 def _parse_attempts(text):
     """Yield the attempts of a text."""
     for part in text.split():
--- a/packages/core/src/jujubeglade/core/journal.py
+++ b/packages/core/src/jujubeglade/core/journal.py
@@ -19,8 +19,10 @@
     TaskEnd,
     pack_attempts,
     pack_ends,
+    pack_indexes,
     unpack_attempts,
     unpack_ends,
+    unpack_indexes,
 )
 from jujubeglade.core._journal_verify import Finding, FindingKind, verify
 
@@ -39,8 +41,10 @@
     "pack",
     "pack_attempts",
     "pack_ends",
+    "pack_indexes",
     "unpack",
     "unpack_attempts",
     "unpack_ends",
+    "unpack_indexes",
     "verify",
 ]
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -247,6 +247,8 @@
     def on_configuration(self):
         """Go on under a new configuration."""
         _log.info("configuration applied", revision=self.permits.revision)
+        # What started under the former revision is recorded before the new one.
+        self.executor.flush_records()
         self.journal.record(
             journal.Kind.CONFIGURATION, "configuration", revision=self.permits.revision
         )
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -198,6 +198,7 @@
         if not self._follows(known, close):
             return self._refused(known, close)
         known.closed = True
+        self._attempts.flush_job(known.key)
         self._journal.record(audit.Kind.CLOSED, known.key, generation=known.fence)
         self._drop_queued(known)
         for attempt in known.attempts.values():
@@ -390,20 +391,26 @@
         self._running += 1
         self.started += 1
         task_id = attempt.task_id
+        # The start must arrive under the permit that it was checked under.
+        start_by_ms = self._clock.wall_ms() + self._permits.remaining_ms()
         self._attempts.note(
-            audit.Kind.STARTED, known.key, task_id.index, task_id.attempt
+            audit.Kind.STARTED,
+            known.key,
+            task_id.index,
+            task_id.attempt,
+            permit_revision=self._permits.revision,
+            permit_until_ms=start_by_ms,
         )
-        self._spawn(self._call(known, attempt, upstream))
+        self._spawn(self._call(known, attempt, upstream, start_by_ms))
 
     def _spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _call(self, known, attempt, upstream):
+    async def _call(self, known, attempt, upstream, start_by_ms):
         begun_ms = self._clock.now_ms()
         wall_ms = self._clock.wall_ms()
-        start_by_ms = wall_ms + self._permits.remaining_ms()
         deadline_ms = wall_ms + int(known.deadline_ms - begun_ms)
         payload = attempt.entry.task.payload
         try:
@@ -478,6 +485,7 @@
     def _raise_fence(self, known, generation):
         former = known.owner
         known.fence = generation
+        self._attempts.flush_job(known.key)
         self._journal.record(audit.Kind.FENCED, known.key, generation=generation)
         self._drop_queued(known)
         if former is not None:
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -410,7 +410,6 @@
         task.evidence = outcome
         if known.ending:
             return
-            return
         if verdict == _SUCCEEDED and body_held:
             task.answer = job.TaskAnswer(job.TaskOutcome.RAN, body, "")
             known.unfinished -= 1
@@ -583,6 +582,7 @@
             tenant=submit.submission.tenant,
             tasks=len(known.tasks),
             candidates=_sources(submit.members),
+            repeatable=audit.pack_indexes(_repeatable(known)),
         )
         by_incarnation = self._members(held, submit.members)
         known.workers = self._workers_of(held, submit)
@@ -666,6 +666,7 @@
             known.key,
             state=str(answer.state),
             reason=answer.reason,
+            **audit.pack_ends(_ends(known, answer)),
         )
         self._release_all(known)
         self._finish(known)
@@ -729,7 +730,15 @@
 
 def _ends(known, answer):
     """Describe for the record how each task ended, and where."""
-    for task, ended in zip(known.tasks, answer.tasks, strict=True):
-        where = task.holder
+    for index, ended in enumerate(answer.tasks):
+        where = known.tasks[index].holder
         source = f"{where.name}/{where.incarnation}" if where else ""
-        yield audit.TaskEnd(str(ended.outcome), source, task.attempts_made)
+        attempt = known.last_attempt(index)
+        yield audit.TaskEnd(str(ended.outcome), source, attempt)
+
+
+def _repeatable(known):
+    """List the places of the tasks that may be repeated."""
+    for index, owned_task in enumerate(known.tasks):
+        if owned_task.task.repeatable:
+            yield index
--- a/packages/dispatch/src/jujubeglade/agent/owned.py
+++ b/packages/dispatch/src/jujubeglade/agent/owned.py
@@ -8,6 +8,18 @@
 _ATTEMPTS_PER_GENERATION = 1000
 
 
+def split_attempt(attempt):
+    """Tell which owner made an attempt.
+
+    Args:
+      attempt: An integer, the number of an attempt among all generations.
+
+    Returns:
+      A pair of integers, the generation and the attempt's number in it.
+    """
+    return divmod(attempt, _ATTEMPTS_PER_GENERATION)
+
+
 class OwnedTask:
     """One task of an owned job."""
 
@@ -120,9 +132,20 @@
         Returns:
           An integer that no generation draws twice for the task.
         """
-        owned = self.tasks[index]
-        owned.attempts_made += 1
-        return self.generation * _ATTEMPTS_PER_GENERATION + owned.attempts_made
+        self.tasks[index].attempts_made += 1
+        return self.last_attempt(index)
+
+    def last_attempt(self, index):
+        """Tell the number of the last attempt that this owner made of a task.
+
+        Args:
+          index: An integer, the task's place.
+
+        Returns:
+          An integer; 0 when there was none.
+        """
+        made = self.tasks[index].attempts_made
+        return made and self.generation * _ATTEMPTS_PER_GENERATION + made
 
     def is_latest(self, index, attempt):
         """Tell whether an attempt is the last one drawn for a task.
