--- a/packages/bench/src/jujubeglade/bench/loopback.py
+++ b/packages/bench/src/jujubeglade/bench/loopback.py
@@ -76,6 +76,17 @@
         if self.store is not None:
             await self.store.close()
 
+    async def kill_agent(self, agent_):
+        """Close an agent at once, as if its process had died.
+
+        Its upstream lives on and announces itself in vain.
+
+        Args:
+          agent_: An Agent, one of `agents`.
+        """
+        self.agents.remove(agent_)
+        await agent_.close()
+
     def _zone(self, number):
         return self._zones[number % len(self._zones)]
 
--- a/packages/core/src/jujubeglade/core/_journal_explain.py
+++ b/packages/core/src/jujubeglade/core/_journal_explain.py
@@ -27,6 +27,7 @@
         "legend",
         "attempts",
         "first_ms",
+        "group",
         "last_ms",
         "permit_revision",
         "permit_until_ms",
--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -582,6 +582,7 @@
             tenant=submit.submission.tenant,
             tasks=len(known.tasks),
             candidates=_sources(submit.members),
+            group=len(held.group),
             repeatable=audit.pack_indexes(_repeatable(known)),
         )
         by_incarnation = self._members(held, submit.members)
