Give an upstream that throttles fewer tasks at once

Cause: a 429 paused the whole worker for a moment, and all its slots were filled again at once; the issue asks for a concurrency that adapts within slots and connections. Ruled out: a gradient on latency: run times differ by ten within a service, so it would learn the mix of tasks; throttles are the upstream's own word. Conclusion: adaptive is the default, fixed the baseline.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -86,4 +86,4 @@
     Examples:
       | name      | value | remedy                                                       |
       | placement | best  | choose one of: least_delay, least_loaded, round_robin        |
-      | luck      | on    | name one of: placement, hedging, admission, health, queueing |
+      | luck      | on    | name one of: placement, hedging, admission, health, concurrency, queueing |
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -57,6 +57,7 @@
       rule hedging off (default)
       rule admission deadline (default)
       rule health probation (default)
+      rule concurrency adaptive (default)
       rule queueing fair (default)
       done
       """
--- a/packages/bench/src/jujubeglade/fakes/upstream.py
+++ b/packages/bench/src/jujubeglade/fakes/upstream.py
@@ -78,6 +78,8 @@
         self.finished = 0
         self.cancelled = 0
         self.throttled = set()
+        self.most = 0
+        self.turned_away = 0
         self.refused_late = 0
         self.fail = False
         self.leaving = False
@@ -146,13 +148,15 @@
         await self._session.close()
         await self._runner.cleanup()
 
-    def set_faults(self, fail=False, slow_factor=1):
+    def set_faults(self, fail=False, slow_factor=1, most=0):
         """Set the faults.
 
         Args:
           fail: A boolean, whether every task fails at once.
           slow_factor: A number by which run times are multiplied.
+          most: An integer, how many tasks it takes before it throttles; 0 for any.
         """
+        self.most = most
         self.fail = fail
         self.slow_factor = slow_factor
 
@@ -195,6 +199,9 @@
         if wall_ms > late_ms:
             self.refused_late += 1
             return web.Response(status=412, text="too late to start")
+        if self.most and len(self._running) >= self.most:
+            self.turned_away += 1
+            return web.Response(status=429, headers={"Retry-After": "0"})
         payload = json.loads(body) or {}
         task_id = request.match_info["id"]
         started = self._note(task_id, wall_ms, payload, late_ms)
--- a/packages/core/src/jujubeglade/core/rules.py
+++ b/packages/core/src/jujubeglade/core/rules.py
@@ -54,6 +54,11 @@
         ("probation", "off"),
         "Whether a worker that fails its tasks has to prove itself again.",
     ),
+    Rule(
+        "concurrency",
+        ("adaptive", "fixed"),
+        "Whether an upstream that throttles is given fewer tasks at once.",
+    ),
     Rule(
         "queueing",
         ("fair", "due", "arrival"),
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -255,6 +255,7 @@
         chosen = self.permits.document.get("limits", {})
         self.limits = settings_.limits_in_force(self.settings.limits, chosen)
         self.executor.use_limits(self.limits)
+        self.executor.use_rules(self.permits.document.get("rules", {}))
         self.home.use_limits(self.limits)
         self.executor.pump()
         self.home.on_configuration()
--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -8,8 +8,8 @@
 import asyncio
 import collections
 
-from jujubeglade.agent import executed
-from jujubeglade.core import contract, job
+from jujubeglade.agent import concurrency, executed
+from jujubeglade.core import contract, job, rules
 from jujubeglade.core import journal as audit
 
 _FINISHED = contract.AttemptState.FINISHED
@@ -27,6 +27,7 @@
         "_attempts",
         "_calls",
         "_clock",
+        "_concurrency",
         "_floor_ms",
         "_held",
         "_held_bytes",
@@ -62,6 +63,7 @@
         self._limits = limits
         self._upstreams = {}
         self._jobs = {}
+        self._concurrency = rules.RULES["concurrency"].default
         self._queues = collections.defaultdict(collections.deque)
         self._queued = 0
         self._running = 0
@@ -104,9 +106,23 @@
         Returns:
           A Load.
         """
-        slots = sum(up.announcement.slots for up in self._serving_upstreams())
+        slots = sum(up.concurrency.limit for up in self._serving_upstreams())
         return contract.Load(self._queued, self._running, slots)
 
+    def use_rules(self, chosen):
+        """Apply the rules that operators chose.
+
+        Args:
+          chosen: A dict from the names of rules to choices.
+        """
+        choice = chosen.get("concurrency", rules.RULES["concurrency"].default)
+        if choice == self._concurrency:
+            return
+        self._concurrency = choice
+        for upstream in self._upstreams.values():
+            slots = upstream.announcement.slots
+            upstream.concurrency = concurrency.open_concurrency(slots, choice)
+
     def add_upstream(self, upstream):
         """Take an upstream into service.
 
@@ -117,6 +133,8 @@
             # An upstream that announces again has forgotten its former lease.
             if former.announcement.address == upstream.announcement.address:
                 former.leaving = True
+        slots = upstream.announcement.slots
+        upstream.concurrency = concurrency.open_concurrency(slots, self._concurrency)
         self._upstreams[upstream.lease] = upstream
 
     def upstream(self, lease):
@@ -420,6 +438,10 @@
         finally:
             upstream.running -= 1
             self._running -= 1
+        if ended.reject == contract.Reject.THROTTLED:
+            upstream.concurrency.throttled(upstream.running)
+        elif ended.verdict == contract.Verdict.SUCCEEDED:
+            upstream.concurrency.succeeded()
         run_ms = int(self._clock.now_ms() - begun_ms)
         self._end(known, attempt, ended, run_ms)
         self.pump()
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -22,6 +22,7 @@
 import aiohttp
 import result
 
+from jujubeglade.agent import concurrency
 from jujubeglade.core import clock, contract, problem
 
 CONNECT_TIMEOUT_MS = 1000
@@ -79,6 +80,7 @@
         "_session",
         "_unaccounted",
         "announcement",
+        "concurrency",
         "lease",
         "leaving",
         "running",
@@ -96,6 +98,8 @@
         """
         self.lease = lease
         self.announcement = announcement
+        # The executor puts the one of the rule in force in its place.
+        self.concurrency = concurrency.open_concurrency(announcement.slots)
         self.leaving = False
         self.running = 0
         self._expires_ms = expires_ms
@@ -109,7 +113,7 @@
         """Tell whether another task may start here."""
         # A report lags, so only what two of them name counts as taken.
         taken = self.running + min(self._unaccounted)
-        return not self.leaving and taken < self.announcement.slots
+        return not self.leaving and taken < self.concurrency.limit
 
     def is_live(self, now_ms):
         """Tell whether the lease still holds.
