Forget the payload of a task once its attempt has ended

Cause: an executor remembers every attempt for two windows, and each attempt kept its StartTask with the payload. Memory then grew by 693 bytes a task with payloads of some 12 bytes, and by more with larger ones.

Ruled out: forgetting attempts earlier, which the promise of one start needs; keeping only the verdict, which resubmissions and successors need with its body.

--- a/packages/dispatch/src/jujubeglade/agent/executor.py
+++ b/packages/dispatch/src/jujubeglade/agent/executor.py
@@ -424,6 +424,8 @@
         attempt.state = _FINISHED
         attempt.verdict = ended.verdict
         attempt.body = ended.body
+        # The attempt is remembered for two windows, its payload is not.
+        attempt.entry = None
         self._hold(attempt)
         if known.owner is not None:
             known.owner.send(
