--- a/packages/bench/src/jujubeglade/bench/plots.py
+++ b/packages/bench/src/jujubeglade/bench/plots.py
@@ -15,6 +15,7 @@
 matplotlib.use("svg")
 # The same figures give the same file.
 matplotlib.rcParams["svg.hashsalt"] = "jujubeglade"
+matplotlib.rcParams["svg.fonttype"] = "none"
 
 from matplotlib import pyplot  # noqa: E402
 
@@ -63,7 +64,12 @@
 def _draw_zone(axes, series):
     """Draw busy slots beside those in service, second by second."""
     axes.plot(series["work"], label="slots busy")
-    axes.step(range(len(series["slots"])), series["slots"], label="slots in service")
+    axes.step(
+        range(len(series["slots"])),
+        series["slots"],
+        where="post",
+        label="slots in service",
+    )
     axes.set_ylim(bottom=0)
     axes.set_xlabel("seconds")
     axes.legend()
