Redial silent entries, and let go of workers that are gone

Ruled out: pings between entries (24 messages a second for three of them): the link is closed when two questions in a row had no answer.

--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -270,12 +270,13 @@
         self.pump()
 
     def tick(self, wall_ms):
-        """Forget jobs outside the window.
+        """Forget jobs outside the window, and workers of none of those left.
 
         Args:
           wall_ms: An integer, the wall clock.
         """
         self._raise_floor(wall_ms - 2 * self._limits.window_ms)
+        self._retire_workers()
         self._scheduler.tick()
 
     def spawn(self, coroutine):
@@ -693,6 +694,16 @@
             if known.answer is not None:
                 self._held_bytes -= known.drop_bodies()
 
+    def _retire_workers(self):
+        """Let go of the workers that no ticket of the window can name."""
+        oldest_ms = self._clock.now_ms() - 2 * self._limits.window_ms
+        unused = {each for each in self._workers.values() if each.used_ms < oldest_ms}
+        for known in self._jobs.values() if unused else ():
+            unused.difference_update(known.workers)
+        for each in unused:
+            del self._workers[each.member.incarnation]
+            each.retire()
+
     def _make_room(self):
         """Forget the oldest tenth of the jobs when there are too many."""
         if len(self._jobs) < self._limits.max_jobs:
--- a/packages/dispatch/src/jujubeglade/agent/worker.py
+++ b/packages/dispatch/src/jujubeglade/agent/worker.py
@@ -163,6 +163,12 @@
                 return None
         return self._link
 
+    def retire(self):
+        """Give the worker up for good."""
+        self.gone = True
+        if self._link is not None:
+            self._link.close()
+
     async def keep_link(self, cluster_key, identity, home):
         """Dial the worker, run its link, and dial again; one task a worker.
 
--- a/packages/dispatch/src/jujubeglade/entry/peers.py
+++ b/packages/dispatch/src/jujubeglade/entry/peers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 
 import result
 
@@ -12,6 +13,7 @@
 from jujubeglade.entry import vote
 
 _REDIAL_MS = 300
+_MOST_UNANSWERED = 2
 
 
 class Peers:
@@ -22,6 +24,7 @@
         "_cluster_key",
         "_identity",
         "_links",
+        "_unanswered",
         "_voter",
     )
 
@@ -39,6 +42,8 @@
         self._addresses = addresses
         self._voter = voter
         self._links = {}
+        # How many questions in a row got no answer, by the name of the entry.
+        self._unanswered = collections.Counter()
 
     async def run(self):
         """Keep a link to every other entry."""
@@ -59,7 +64,9 @@
         opened = self._links.get(name)
         if opened is None:
             return result.Err(_not_connected(name))
-        return await opened.ask(asked, vote.ANSWER_MS)
+        answered = await opened.ask(asked, vote.ANSWER_MS)
+        self._note(name, opened, answered)
+        return answered
 
     async def ask_records(self, asked):
         """Ask all other entries for records that may not be stored yet.
@@ -102,6 +109,19 @@
         for opened in list(self._links.values()):
             opened.close()
 
+    def _note(self, name, opened, answered):
+        """Close a link on which two questions in a row got no answer.
+
+        The other entry may have closed it long ago, unheard; it is dialed again.
+        """
+        if answered.is_ok():
+            self._unanswered[name] = 0
+            return
+        self._unanswered[name] += 1
+        if self._unanswered[name] >= _MOST_UNANSWERED:
+            self._unanswered[name] = 0
+            opened.close()
+
     async def _keep(self, address):
         while True:
             dialed = await link.dial(
