--- a/packages/dispatch/src/jujubeglade/agent/runtimes.py
+++ b/packages/dispatch/src/jujubeglade/agent/runtimes.py
@@ -1,10 +1,8 @@
 """Run times: what a home learns of how long tasks take.
 
-Declared run times are often far off. For each service the mean run time of the tasks
-that declare about the same is learnt, so that what nobody's task needs is not
-expected of one. Until enough of a kind have run, the mean ratio of the run time to
-the declared one stands in, by service and tenant, or the mean run time where none is
-declared; `expected_ms` applies them. For each service the distribution of the
+Declared run times are often far off. For each service and tenant the mean ratio
+of the run time to the declared one is learnt, or the mean run time where none is
+declared; `expected_ms` applies it. For each service the distribution of the
 ratio to the expected time is kept in logarithmic buckets, of which hedging takes
 a quantile, and the least run time, below which no deadline can be met.
 """
@@ -21,8 +19,6 @@
 _HALVE_AT = 2000
 _LEAST_SAMPLES = 20
 _FORGET = 0.001
-_ALIKE_BASE = 1.5
-_ALIKE_SAMPLES = 20
 
 
 class _Mean:
@@ -114,9 +110,6 @@
         Returns:
           A number; 0 when nothing is known.
         """
-        alike = self._means.get(_alike(task))
-        if alike is not None and alike.count >= _ALIKE_SAMPLES:
-            return max(_LEAST_MS, alike.value)
         declared = task.run_ms > 0
         mean = self._means.get((task.service, tenant, declared))
         if mean is None:
@@ -165,7 +158,6 @@
         sample = run_ms / (task.run_ms or 1)
         for owner in (tenant, None):
             self._mean((task.service, owner, task.run_ms > 0)).add(sample)
-        self._mean(_alike(task)).add(run_ms)
         spread = self._spreads.setdefault(task.service, Spread())
         spread.add(taken_ms / expected_ms)
         least, count = self._least.get(task.service, (run_ms, 0))
@@ -180,10 +172,3 @@
                 self._means.pop(next(iter(self._means)))
             mean = self._means[key] = _Mean()
         return mean
-
-
-def _alike(task):
-    """Name the tasks of a service that declare about the same run time."""
-    if task.run_ms <= 0:
-        return (task.service, 0)
-    return (task.service, 1 + int(math.log(task.run_ms, _ALIKE_BASE)))
