Refuse nothing on a declaration alone

Before: a job that declares 60 s for a task of 50 ms is refused (the new scenario fails with a refusal). After: it is taken; 32 of 32 scenarios of policies pass.

--- a/features/policies.feature
+++ b/features/policies.feature
@@ -121,6 +121,11 @@
     When the policies site has settled
     Then a policies job with a deadline of 20 ms is refused as "never_runnable"
 
+  Scenario: A declared time alone refuses nothing
+    Given the policies site with admission deadline
+    When the policies site has settled
+    Then a policies job that declares 60000 ms for a task of 50 ms is taken within 1000 ms
+
   Scenario: A service that nobody offers
     Given the policies site with admission deadline
     When the policies site has settled
--- a/features/steps/policies_steps.py
+++ b/features/steps/policies_steps.py
@@ -384,6 +384,16 @@
     assert not context.taken.done(), context.taken
 
 
+@then(
+    "a policies job that declares {declared:d} ms for a task of {run:d} ms is taken "
+    "within {deadline:d} ms"
+)
+def step_declared(context, declared, run, deadline):
+    task = site_.task(run, declared_ms=declared)
+    answer = context.trial.run(context.trial.site.submit([task], deadline))
+    assert answer.state == "complete", answer
+
+
 @then("a policies job of 1 task is answered {way} {limit_ms:d} ms")
 def step_small(context, way, limit_ms):
     clock = context.trial.site.clock
--- a/packages/dispatch/src/jujubeglade/agent/runtimes.py
+++ b/packages/dispatch/src/jujubeglade/agent/runtimes.py
@@ -80,13 +80,14 @@
 class RunTimes:
     """What one home has learnt."""
 
-    __slots__ = ("_least", "_means", "_spreads")
+    __slots__ = ("_least", "_means", "_most", "_spreads")
 
     def __init__(self):
         """Start with nothing learnt."""
         self._means = {}
         self._spreads = {}
         self._least = {}
+        self._most = {}
 
     def expected_ms(self, task, tenant):
         """Estimate how long a task runs.
@@ -118,6 +119,24 @@
             return float(task.run_ms)
         return max(_LEAST_MS, mean.value * (task.run_ms or 1))
 
+    def surely_ms(self, task, tenant):
+        """Tell how long a task surely runs, for a refusal to rest on.
+
+        A declaration alone proves nothing: it counts for no more than the longest
+        run time of the service seen lately, and for nothing before that is known.
+
+        Args:
+          task: A Task.
+          tenant: A string.
+
+        Returns:
+          A number; 0 when nothing is known.
+        """
+        most_ms, count = self._most.get(task.service, (0.0, 0))
+        if count < _LEAST_SAMPLES:
+            return 0.0
+        return min(most_ms, self.known_ms(task, tenant))
+
     def least_ms(self, service):
         """Tell the shortest run time of a service seen lately.
 
@@ -164,6 +183,9 @@
         # The minimum rises slowly, so that an old one is forgotten.
         least = min(run_ms, least * (1 + _FORGET))
         self._least[task.service] = (least, count + 1)
+        most, count = self._most.get(task.service, (run_ms, 0))
+        most = max(run_ms, most * (1 - _FORGET))
+        self._most[task.service] = (most, count + 1)
 
     def _mean(self, key):
         mean = self._means.get(key)
--- a/packages/dispatch/src/jujubeglade/agent/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/agent/scheduler.py
@@ -469,7 +469,7 @@
         queue = self._policies.queue
         expected = collections.defaultdict(list)
         for task in submission.tasks:
-            expected_ms = self._times.known_ms(task, submission.tenant)
+            expected_ms = self._times.surely_ms(task, submission.tenant)
             expected[task.service].append(expected_ms)
         ideal_ms = max(max(each) for each in expected.values())
         ahead_ms = queue.ahead_ms(submission, ideal_ms, now_ms)
