Measure the records that processes make today

Cause: the bench of records still noted finished attempts, which no executor records, and lacked the permit of a start, the group and the repeatable tasks.

--- a/packages/bench/src/jujubeglade/bench/records.py
+++ b/packages/bench/src/jujubeglade/bench/records.py
@@ -22,6 +22,7 @@
 _CANDIDATES = 8
 _SECONDS = 30
 _TURN_MS = 100
+_PERMIT_MS = 2500
 _TURNS_PER_SECOND = 10
 _BATCH_RECORDS = 2000
 _BATCH_BYTES = 256_000
@@ -105,13 +106,16 @@
             tenant=f"tenant-{random.randrange(20)}",
             tasks=tasks,
             candidates=",".join(names),
+            group=len(names) + 1,
+            repeatable=journal.pack_indexes(range(tasks)),
         )
         ends = []
         for index in range(tasks):
             place = random.randrange(_CANDIDATES)
             log = self._logs[candidates[place]]
-            log.note(journal.Kind.STARTED, job, index, 1)
-            log.note(journal.Kind.FINISHED, job, index, 1)
+            until_ms = self._clock.wall_ms() + _PERMIT_MS
+            permit = {"permit_revision": 7, "permit_until_ms": until_ms}
+            log.note(journal.Kind.STARTED, job, index, 1, **permit)
             ends.append(journal.TaskEnd("ran", names[place], 1))
         self._due.append((home, job, ends))
 
