--- a/packages/dispatch/src/jujubeglade/agent/home.py
+++ b/packages/dispatch/src/jujubeglade/agent/home.py
@@ -9,7 +9,15 @@
 import asyncio
 import collections
 
-from jujubeglade.agent import listing, owned, scheduler, takeover, worker
+from jujubeglade.agent import (
+    listing,
+    owned,
+    refusal,
+    scheduler,
+    takeover,
+    window,
+    worker,
+)
 from jujubeglade.core import clock, contract, job, log, problem, routing, ticket
 from jujubeglade.core import journal as audit
 
@@ -70,12 +78,11 @@
         self._limits = agent.settings.limits
         self._executor = executor
         self._local = LocalLink(self, agent.identity)
-        self._jobs = {}
+        self._window = window.Window()
+        self._jobs = self._window.jobs
         self._workers = {}
         self._tasks = set()
         self._scheduler = scheduler.Scheduler(self, agent, self._send)
-        self._held_bytes = 0
-        self._floor_ms = 0
         self.leaving = False
         # Totals for the metrics: jobs accepted by tenant, and answered by state.
         self.accepted = collections.Counter()
@@ -137,7 +144,7 @@
                 return refused
             known = self._accept(held, submit)
         elif known.submission.tenant != submit.submission.tenant:
-            return _unknown_job(held.key)
+            return refusal.unknown_job(held.key)
         return await self._wait(known, submit.wait_ms)
 
     async def query(self, query):
@@ -151,7 +158,7 @@
         """
         known = self._find(query)
         if known is None:
-            return _unknown_job(query.key)
+            return refusal.unknown_job(query.key)
         return await self._wait(known, query.wait_ms)
 
     async def cancel(self, cancel):
@@ -165,7 +172,7 @@
         """
         known = self._find(cancel)
         if known is None:
-            return _unknown_job(cancel.key)
+            return refusal.unknown_job(cancel.key)
         self._journal.record(audit.Kind.CANCELLED, known.key, reason=cancel.reason)
         # The job ends also when the link of who asks breaks meanwhile.
         self.spawn(self.fail(known, f"cancelled: {cancel.reason}", 0))
@@ -202,7 +209,7 @@
         """
         known = self._jobs.get(throttle.key)
         if known is None:
-            return _unknown_job(throttle.key)
+            return refusal.unknown_job(throttle.key)
         self._journal.record(audit.Kind.THROTTLED, known.key, reason=throttle.reason)
         running = [
             (holder, index, attempt)
@@ -275,7 +282,7 @@
         Args:
           wall_ms: An integer, the wall clock.
         """
-        self._raise_floor(wall_ms - 2 * self._limits.window_ms)
+        self._window.raise_floor(wall_ms - 2 * self._limits.window_ms)
         self._retire_workers()
         self._scheduler.tick()
 
@@ -523,37 +530,17 @@
         return known if was_out else None
 
     def _refusal(self, held, submit):
-        if held.issued_ms < self._floor_ms:
-            return problem.Problem(
-                kind=problem.Kind.WINDOW_PASSED,
-                message="the id is older than the window of resubmission",
-                remedy="look the job up in the audit before taking a new id",
-                outcome=problem.Outcome.UNKNOWN,
-            )
+        """Tell why a submission can't be taken here; None when it can."""
+        if held.issued_ms < self._window.floor_ms:
+            return refusal.window_passed()
         owners = held.owners
         mine = self._agent.identity.incarnation
         if submit.generation >= len(owners) or owners[submit.generation] != mine:
-            return problem.Problem(
-                kind=problem.Kind.HOME_LOST,
-                message="this agent does not own that generation of the job",
-                remedy="submit again with the same id",
-                outcome=problem.Outcome.UNKNOWN,
-            )
+            return refusal.not_the_owner()
         if self.leaving:
-            return problem.Problem(
-                kind=problem.Kind.SHUTTING_DOWN,
-                message="the home is shutting down",
-                remedy="submit again with the same id",
-                retry_after_ms=_RETRY_AFTER_MS,
-            )
-        self._make_room()
-        if len(self._jobs) >= self._limits.max_jobs:
-            return problem.Problem(
-                kind=problem.Kind.OVERLOADED,
-                message="the home holds as many jobs as it may",
-                remedy="come back later with the same id",
-                retry_after_ms=_RETRY_AFTER_MS,
-            )
+            return refusal.shutting_down()
+        if not self._window.make_room(self._limits.max_jobs):
+            return refusal.too_many_jobs()
         return None
 
     def _decline(self, held, submit):
@@ -672,8 +659,7 @@
         )
         self._release_all(known)
         self._finish(known)
-        self._held_bytes += sum(len(task.result) for task in answer.tasks)
-        self._bound_results()
+        self._window.hold(known, self._limits.held_result_bytes)
 
     def _finish(self, known):
         self._scheduler.discard(known)
@@ -685,15 +671,6 @@
             for attempt in list(task.attempts):
                 self.release(known, index, attempt)
 
-    def _bound_results(self):
-        if self._held_bytes <= self._limits.held_result_bytes:
-            return
-        for known in self._jobs.values():
-            if self._held_bytes <= self._limits.held_result_bytes // 2:
-                return
-            if known.answer is not None:
-                self._held_bytes -= known.drop_bodies()
-
     def _retire_workers(self):
         """Let go of the workers that no ticket of the window can name."""
         oldest_ms = self._clock.now_ms() - 2 * self._limits.window_ms
@@ -704,36 +681,6 @@
             del self._workers[each.member.incarnation]
             each.retire()
 
-    def _make_room(self):
-        """Forget the oldest tenth of the jobs when there are too many."""
-        if len(self._jobs) < self._limits.max_jobs:
-            return
-        issued = sorted(known.issued_ms for known in self._jobs.values())
-        self._raise_floor(issued[len(issued) // 10] + 1)
-
-    def _raise_floor(self, floor_ms):
-        if floor_ms <= self._floor_ms:
-            return
-        self._floor_ms = floor_ms
-        passed = [k for k, known in self._jobs.items() if self._is_past(known)]
-        for key in passed:
-            known = self._jobs.pop(key)
-            if known.answer is not None:
-                self._held_bytes -= sum(len(task.result) for task in known.answer.tasks)
-
-    def _is_past(self, known):
-        return known.issued_ms < self._floor_ms and known.is_over
-
-
-def _unknown_job(key):
-    return problem.Problem(
-        kind=problem.Kind.UNKNOWN_JOB,
-        message=f"job {key} is not known here",
-        remedy="submit again with the same id",
-        place="id",
-        outcome=problem.Outcome.UNKNOWN,
-    )
-
 
 def _sources(members):
     """Name members as their own records do."""
