--- a/features/mutants.feature
+++ b/features/mutants.feature
@@ -10,7 +10,7 @@
     Examples:
       | rule                                   | fault                     | ms   | seed | kind           |
       | a successor claims before it places    | each worker is cut off in turn | 1000 | 1    | double         |
-      | what may have run is not placed again  | freeze a worker           | 1000 | 2    | double         |
+      | what may have run is not placed again  | each worker is cut off in turn | 1000 | 2    | double         |
       | not run is said only after a close     | kill a worker             | 1000 | 4    | false_not_run  |
       | a complete answer has every task       | nothing                   | 1000 | 5    | partial        |
       | a result belongs to its attempt        | nothing                   | 1000 | 6    | wrong_value    |
