Have each replayed run bring about a reject

Cause: the scenario over real processes asks that its run holds each kind of event, and whether an executor rejected something was left to chance; when it did, the records were read before they were stored. No expectation changed.

--- a/packages/bench/src/jujubeglade/bench/trial.py
+++ b/packages/bench/src/jujubeglade/bench/trial.py
@@ -3,9 +3,10 @@
     python -m jujubeglade.bench.trial 5 6 7     # seeds
 
 Clients submit jobs, submit them again at other entries and cancel some; operators
-drain a zone and bring it back; a home and an executor of a running job are killed. The
-seed draws jobs, clients' choices and times; what the machine adds to the times stays
-its own. Each run prints one line, and each violation one more.
+drain a zone and bring it back; a home and an executor of a running job are killed; a
+job that is larger than all slots is cancelled. The seed draws jobs, clients' choices
+and times; what the machine adds to the times stays its own. Each run prints one line,
+and each violation one more.
 
 The parts of a run work on any `Site`, so that tests use them in one process as well.
 """
@@ -26,11 +27,12 @@
 _LOST_TASKS = 6
 _LOST_TASK_MS = 400
 _LOST_AFTER_MS = 100
+_LONG_TASK_MS = 1500
 _WAIT_MS = 10_000
 _PATIENCE_MS = 15_000
 _POLL_MS = 100
 # Longer than the attempt log, a heartbeat and the archive hold records back.
-_RECORDED_MS = 3000
+_RECORDED_MS = 5000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +129,21 @@
         return await submit(other, body)
 
 
+async def overfill(site, count):
+    """Cancel a job that is larger than all slots while its tasks wait at executors.
+
+    Args:
+      site: A Site.
+      count: An integer, more tasks than there are slots.
+    """
+    async with client.open_client(site.urls, site.caller_token) as caller:
+        (held,) = (await caller.tickets()).unwrap()
+        body = {"id": held, "tasks": [task(_LONG_TASK_MS, True)] * count}
+        (await caller.submit(body)).unwrap()
+        await asyncio.sleep(clock.seconds(_LOST_AFTER_MS))
+        (await caller.cancel(held)).unwrap()
+
+
 async def drain(site, zone):
     """Drain a zone until that is in force, and bring it back.
 
@@ -239,6 +256,7 @@
             await held.start_process(name)
         await held.wait_ready(shape.workers)
         await run_job(site, chance, 1)
+        await overfill(site, 2 * shape.workers * shape.slots)
         records = await read(site, lambda: _logs(held), killed)
         return Outcome(records, _logs(held))
 
