Keep following the entries when a key of theirs can't be read

Cause: an entry's key with bytes that aren't text ended the follower's task, and one without a port ended the task that dials it; both silently. Agents then learnt of no new entry for the rest of their life. Ruled out: the store's driver (it decodes such a key) and the operators' keys (read with their own checks). Before: four scenarios of a key from another writer failed (no agent reached a restarted entry); an unknown field of a job was passed over without a word. One Background keeps the tasks of process and runner, which each did before. Conclusion: mended.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -33,6 +33,17 @@
       | PUT    | /stock/0123456789abcdef  | {}                                                                    | 405    |
       | GET    | /stock/                  | {}                                                                    | 200    |
 
+  Scenario Outline: A field that nobody knows is named in the log and changes nothing
+    Given a platform site of 1 entries and 1 workers that logs
+    When a client sends POST /stock/0123456789abcdef with <body>
+    Then the client gets 200 completed
+    And a log line of "fields ignored" names 0123456789abcdef and <names>
+
+    Examples:
+      | body                                                             | names         |
+      | {"bestEffort": true, "spec": "1000 50", "steps": [{"cpu": 1000}], "colour": 3} | colour        |
+      | {"bestEffort": true, "spec": "1000 50", "steps": [{"cpu": 1000, "colour": [1]}]} | steps.colour  |
+
   Scenario Outline: A report that can't be read changes nothing
     Given a platform site of 1 entries and 1 workers
     When worker 0 reports with <change>
@@ -101,6 +112,39 @@
     Then the client gets 200 completed
     And no task started on worker 0
 
+  Scenario: Open connections to the store go silent while new ones work
+    Given a platform site of 2 entries and 2 workers
+    When every open connection to the store goes silent
+    And the operator moves the route to /parts/
+    Then entry 0 answers GET /parts/ with 200 within 3000 ms
+    And entry 1 answers GET /parts/ with 200 within 3000 ms
+
+  Scenario Outline: An entry is found though the store's answers to its writes are lost
+    Given a platform site of 2 entries and 2 workers
+    When the store <loses>
+    And entry 1 starts again
+    Then entry 1 is registered within 5000 ms
+    And agents reach entry 1 within 5000 ms
+
+    Examples:
+      | loses                                          |
+      | makes every 2nd change and does not answer it  |
+      | makes every 2nd change 1500 ms late, unanswered |
+
+  Scenario Outline: A key of an entry that can't be read names no entry, and the others hold
+    Given a platform site of 1 entries and 1 workers
+    When another writer puts <value> under an entry's key
+    And entry 0 starts again
+    Then agents reach entry 0 within 3000 ms
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+    Examples:
+      | value        |
+      | bytes ff fe  |
+      | text nowhere |
+      | text a:b     |
+      | text :0      |
+
   Scenario: An entry registers again after its key was taken away
     Given a platform site of 1 entries and 1 workers
     When the entries' keys vanish from the store
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 
 from behave import given, then, when
 
+from jujubeglade.core import log
 from jujubeglade.fakes import platform_site
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -110,6 +111,29 @@
     context.site.store.forget_history()
 
 
+@when("every open connection to the store goes silent")
+def step_silence(context):
+    context.site.store.silence_open()
+
+
+@when("the store makes every 2nd change and does not answer it")
+def step_lose(context):
+    context.site.store.lose_every = 2
+
+
+@when("the store makes every 2nd change {ms:d} ms late, unanswered")
+def step_lose_late(context, ms):
+    context.site.store.lose_every = 2
+    context.site.store.late_ms = ms
+
+
+@when("another writer puts {kind} {value} under an entry's key")
+def step_foreign_key(context, kind, value):
+    data = bytes.fromhex(value) if kind == "bytes" else value.encode()
+    context.site.store.put_bytes("jujubeglade/entries/another", data)
+    _wait(context, _SETTLE_S)
+
+
 @when("the entries' keys vanish from the store")
 def step_vanish(context):
     context.site.store.lapse("jujubeglade/entries/")
@@ -190,10 +214,36 @@
 @then("entry {index:d} is registered within {ms:d} ms")
 def step_registered(context, index, ms):
     key = f"jujubeglade/entries/entry-{index}"
-    end = time.monotonic() + ms / 1000
-    while key not in context.site.store.items and time.monotonic() < end:
-        _wait(context, 0.05)
-    assert key in context.site.store.items
+    assert _within(context, ms, lambda: key in context.site.store.items)
+
+
+@then("entry {index:d} answers {method} {path} with {status:d} within {ms:d} ms")
+def step_answers(context, index, method, path, status, ms):
+    def is_answered():
+        sent = context.site.request(index, method, path, b"")
+        return context.runner.run(sent).status == status
+
+    assert _within(context, ms, is_answered)
+
+
+@then("agents reach entry {index:d} within {ms:d} ms")
+def step_reached(context, index, ms):
+    fleet = context.site.entries[index].fleet
+    assert _within(context, ms, lambda: any(each.is_accepting for each in fleet))
+
+
+@then("a client that submits {count:d} tasks of {cores:d} cores for {ms:d} ms gets 200")
+def step_serves(context, count, cores, ms):
+    step_submit(context, count, cores, ms, 0)
+    step_status_state(context, 200, "completed")
+
+
+@then('a log line of "{event}" names {job_id} and {names}')
+def step_log_line(context, event, job_id, names):
+    log.flush()
+    rows = [json.loads(each) for each in context.stream.getvalue().splitlines()]
+    found = [row for row in rows if row["event"] == event]
+    assert [(row["job"], row["names"]) for row in found] == [(job_id, names)], rows
 
 
 @then("nothing was started")
@@ -238,6 +288,16 @@
     context.runner.run(asyncio.sleep(seconds))
 
 
+def _within(context, ms, condition):
+    """Wait until a condition holds; tell whether it did in time."""
+    end = time.monotonic() + ms / 1000
+    while not condition():
+        if time.monotonic() > end:
+            return False
+        _wait(context, 0.05)
+    return True
+
+
 def _zone_workers(context, number):
     """Name the workers of a zone; their agents are dealt to the zones in turn."""
     site = context.site
--- a/packages/bench/src/jujubeglade/fakes/platform_store.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import json
+import weakref
 
 from aiohttp import web
 
@@ -30,6 +31,11 @@
         self.delay_ms = 0
         #: The share of changes that are made and not answered, as every n-th; 0: none.
         self.lose_every = 0
+        #: How late such a change is made, if its condition still holds; 0: at once.
+        self.late_ms = 0
+        # Connections that are open, and those that went silent.
+        self._open = weakref.WeakSet()
+        self._silent = weakref.WeakSet()
         self._changes = 0
         self._history = []
         self._oldest = 0
@@ -69,7 +75,20 @@
           key: A string.
           fields: What is written as JSON.
         """
-        self._write(key, json.dumps(fields).encode(), 0)
+        self.put_bytes(key, json.dumps(fields).encode())
+
+    def put_bytes(self, key, data):
+        """Write a key as a writer that the system does not know.
+
+        Args:
+          key: A string.
+          data: Bytes.
+        """
+        self._write(key, data, 0)
+
+    def silence_open(self):
+        """Never answer on the connections that are open now."""
+        self._silent.update(self._open)
 
     def remove(self, key):
         """Delete a key as the operator does, or as a lease that ends."""
@@ -95,11 +114,15 @@
     @web.middleware
     async def _meet_fault(self, request, handler):
         self.calls += 1
+        self._open.add(request.transport)
         if self.delay_ms:
             await asyncio.sleep(self.delay_ms / 1000)
         if self.fault and self._is_turned_away(request):
             return await self._fail(request)
-        return await handler(request)
+        response = await handler(request)
+        if request.transport in self._silent:
+            await asyncio.sleep(_LONG_S)
+        return response
 
     def _is_turned_away(self, request):
         return not self.turned_away or _port(request) in self.turned_away
@@ -149,6 +172,15 @@
 
     async def _change(self, request):
         body = await request.json()
+        self._changes += 1
+        if self.lose_every and self._changes % self.lose_every == 0:
+            await asyncio.sleep(self.late_ms / 1000)
+            self._apply(body)
+            await asyncio.sleep(_LONG_S)
+        return self._apply(body)
+
+    def _apply(self, body):
+        """Make a change if its condition holds."""
         for row in body["expect"]:
             held = self.items.get(row["key"], {"revision": 0})
             if held["revision"] != row["revision"]:
@@ -160,9 +192,6 @@
             self._write(row["key"], base64.b64decode(row["value"]), lease)
         for key in body["remove"]:
             self.remove(key)
-        self._changes += 1
-        if self.lose_every and self._changes % self.lose_every == 0:
-            await asyncio.sleep(_LONG_S)
         return web.json_response({"revision": self.revision})
 
     async def _grant(self, request):
--- a/packages/core/src/jujubeglade/core/_settings_check.py
+++ b/packages/core/src/jujubeglade/core/_settings_check.py
@@ -151,11 +151,26 @@
     return "no such setting"
 
 
+def read_value(value, rule, path, report):
+    """Read one value.
+
+    Args:
+      value: The value found.
+      rule: A Rule.
+      path: A string, the key path of the value.
+      report: A Report.
+
+    Returns:
+      The value, or the mark of an unreadable one.
+    """
+    return _readers[rule.kind](value, rule, path, report)
+
+
 def _read_field(field, mapping, path, report):
     """Read one field, or its default."""
     rule = rules.rule_of(field)
     if field.name in mapping:
-        return _readers[rule.kind](mapping[field.name], rule, path, report)
+        return read_value(mapping[field.name], rule, path, report)
     if rules.is_required(field):
         return report.add(path, "missing", _first_sentence(rule.doc))
     if field.default is not dataclasses.MISSING:
--- a/packages/core/src/jujubeglade/core/settings.py
+++ b/packages/core/src/jujubeglade/core/settings.py
@@ -35,10 +35,27 @@
 # Importing the relations registers them.
 _RELATIONS = relations
 
+# An address of a peer, which has a port.
+_PEER = rules.Rule("listener", "Address of a peer.", 1, 65_535)
 _MAX_FILE_BYTES = 1024 * 1024
 _LINE = re.compile(r"^<string>:(?P<line>\d+) (?P<cause>.*)$", re.DOTALL)
 
 
+def read_address(text, source):
+    """Read the address of a peer, as settings write one.
+
+    Args:
+      text: A string, such as "10.0.0.1:7100".
+      source: A string that says where the text stands.
+
+    Returns:
+      A Result: Ok of an Address, or Err of a tuple of Problems.
+    """
+    report = check.Report(source)
+    found = check.read_value(text, _PEER, "", report)
+    return result.Err(report.problems) if report.problems else result.Ok(found)
+
+
 def load(path):
     """Read and check a settings file.
 
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -61,6 +61,11 @@
         """Tell whether connections should be closed after their answer."""
         return self._is_leaving
 
+    @property
+    def fleet(self):
+        """Return the Fleet, the workers that this entry knows."""
+        return self._dispatcher.fleet
+
     @property
     def configuration(self):
         """Return the Configuration in force, or None."""
@@ -100,6 +105,15 @@
         """Count the jobs of a route of which nothing has started."""
         return self._dispatcher.pending(chosen)
 
+    def note_ignored(self, job_id, names):
+        """Log the fields of a request that mean nothing to this release.
+
+        Args:
+          job_id: A string.
+          names: A tuple of strings.
+        """
+        _log.warning("fields ignored", job=job_id, names=",".join(names))
+
     def refuse(self, job_id, reason):
         """Log a request that was refused before it became a job.
 
@@ -175,7 +189,7 @@
         opened.send(contract.Beat(operators, self._beliefs.members.revision))
 
     def _on_beliefs(self):
-        for known in self._dispatcher.fleet:
+        for known in self.fleet:
             for view in self._beliefs.newer_than(*known.known):
                 known.link.send(view)
         self._registration.check(self._beliefs.members.addresses)
@@ -184,7 +198,7 @@
         """Set the gauges."""
         self._metrics.set(metrics.Gauge.REQUESTS, self._dispatcher.in_progress)
         self._metrics.set(metrics.Gauge.REVISION, self._beliefs.operators.revision)
-        workers = sum(known.is_accepting for known in self._dispatcher.fleet)
+        workers = sum(known.is_accepting for known in self.fleet)
         self._metrics.set(metrics.Gauge.WORKERS, workers)
 
     async def _watch(self, opened):
@@ -204,20 +218,20 @@
             self._abort_silent()
             if now_ms - beat_ms >= contract.BEAT_MS:
                 beat_ms = now_ms
-                for known in self._dispatcher.fleet:
+                for known in self.fleet:
                     self._beat(known.link)
             self._dispatcher.tick()
 
     def _resume(self, gap_ms):
         """Go on after a suspension in which agents took this entry as lost."""
         _log.warning("was suspended", gap_ms=int(gap_ms))
-        for known in self._dispatcher.fleet:
+        for known in self.fleet:
             known.link.abort()
         self._dispatcher.abandon_all("entry was suspended")
 
     def _abort_silent(self):
         now_ms = self._clock.now_ms()
-        for known in self._dispatcher.fleet:
+        for known in self.fleet:
             silent_ms = now_ms - known.link.heard_ms
             if known.link.is_open and silent_ms > contract.SILENCE_MS:
                 _log.warning("worker silent", worker=known.identity.name)
--- a/packages/dispatch/src/jujubeglade/direct/process.py
+++ b/packages/dispatch/src/jujubeglade/direct/process.py
@@ -4,10 +4,15 @@
 their peers, serve metrics, and end their tasks when they close.
 """
 
-import asyncio
-
 from jujubeglade.core import link, metrics, metrics_page, store, ticket
-from jujubeglade.direct import beliefs, contract, follower, platforms, registration
+from jujubeglade.direct import (
+    background,
+    beliefs,
+    contract,
+    follower,
+    platforms,
+    registration,
+)
 
 
 class Process:
@@ -30,7 +35,7 @@
         self._platform = platforms.find(settings.platform)
         self._beliefs = beliefs.new_beliefs()
         self._metrics = metrics.open_metrics()
-        self._tasks = set()
+        self._background = background.new_background()
         self._store = None
         self._page = None
 
@@ -54,9 +59,7 @@
 
     async def _close(self):
         """End the tasks, and close what `_open` opened."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
         if self._page is not None:
             await self._page.cleanup()
         await self._store.close()
@@ -70,8 +73,8 @@
                 self._beliefs.offer(view, "store")
 
         def offer_members(entries, revision):
-            addresses = sorted(entry.value.decode() for entry in entries.values())
-            self._beliefs.offer(contract.Members(revision, tuple(addresses)), "store")
+            addresses = registration.addresses(entries)
+            self._beliefs.offer(contract.Members(revision, addresses), "store")
 
         prefix = self._platform.operators_prefix
         return (
@@ -80,7 +83,4 @@
         )
 
     def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self._background.spawn(coroutine)
--- a/packages/dispatch/src/jujubeglade/direct/registration.py
+++ b/packages/dispatch/src/jujubeglade/direct/registration.py
@@ -8,7 +8,7 @@
 
 import result
 
-from jujubeglade.core import clock, log
+from jujubeglade.core import clock, log, settings
 
 PREFIX = "jujubeglade/entries/"
 #: How long an entry that is gone stays listed.
@@ -19,6 +19,28 @@
 _log = log.get(__name__)
 
 
+def addresses(entries):
+    """List the addresses that are registered.
+
+    A key may come from another writer; one that holds no address names no entry.
+
+    Args:
+      entries: A dict from key to Entry.
+
+    Returns:
+      A tuple of strings, HOST:PORT, sorted.
+    """
+    found = []
+    for key, entry in entries.items():
+        text = entry.value.decode(errors="replace")
+        read = settings.read_address(text, key)
+        if read.is_ok():
+            found.append(str(read.ok_value))
+        else:
+            _log.warning("registration unreadable", cause=read.err_value[0])
+    return tuple(sorted(found))
+
+
 class Registration:
     """The key of one entry."""
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -19,7 +19,7 @@
 
 from jujubeglade.core import clock, log, metrics
 from jujubeglade.direct import attempt as attempt_
-from jujubeglade.direct import capacity, contract, hold, worker
+from jujubeglade.direct import background, capacity, contract, hold, worker
 
 #: How long a hold may wait for an end; several fit into the shortest hold.
 _WAIT_MS = 300
@@ -45,6 +45,7 @@
 
     __slots__ = (
         "_attempts",
+        "_background",
         "_capacity",
         "_clean",
         "_clock",
@@ -60,7 +61,6 @@
         "_report",
         "_responsive",
         "_retired",
-        "_tasks",
         "_token",
         "_wakened",
         "leaving",
@@ -85,8 +85,8 @@
         self._is_evacuated = is_evacuated
         self._on_change = on_change
         self._attempts = {}
+        self._background = background.new_background()
         self._capacity = capacity.new_capacity()
-        self._tasks = set()
         self._wakened = asyncio.Event()
         # Lives that are over, whose late reports tell nothing.
         self._retired = set()
@@ -233,9 +233,7 @@
 
     async def close(self):
         """End the tasks of this runner."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
 
     def _refusal(self):
         """Tell why nothing may start now; None when something may."""
@@ -514,6 +512,4 @@
                     self._halt(held)
 
     def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(coroutine)
