Announce room at a pace, hand freed room on fairly, and offer it to what waits only

Cause: each change of a worker's room went to every entry within 2 ms, and each such message made an entry with a queue offer all that waited to all workers. Ruled out: starts and ends themselves (some 3,000 a second), the store's calls. Change: an owner counts the room of its own ended attempt as free at once; others are told at a pace that lengthens with their number (announcer). Where others wait, the one with least is told first (sharing). A round offers what waits to workers whose room has grown, and to all only what is new (pump, split from the dispatcher). Jobs that have begun go before others. The stand-in kept no order among messages of one moment and told nobody the entries; both are as in the product now. Two situations of mutants rested on the former pace; their causes are certain now, with the same expectation.

--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -79,7 +79,7 @@
     def halt(self, held):
         former(self, held)
         self._capacity.give_back(held.task)
-        self._on_change()
+        self._announcer.on_room()
 
     return runner.Runner, "_halt", halt
 
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -54,21 +54,29 @@
 
 @situation("a start without an answer is not taken as refused")
 async def lose_start(site):
-    """Lose the answer to a start that is carried out a moment later."""
-    for node in site.nodes[:-1]:
-        node.worker.losing = 1.0
-        node.worker.late_ms = (320, 320)
-    await _submit(site, 0, 12)
+    """Lose the answers to starts on the only worker, while the others come back."""
+    first, *others = (node.worker for node in site.nodes)
+    first.losing = 1.0
+    first.late_ms = (320, 320)
+    _drain(others, draining=True)
+    await asyncio.sleep(0.05)
+    await _submit(site, 0, 4)
+    _drain(others, draining=False)
+    _drain((first,), draining=True)
     await asyncio.sleep(3)
 
 
 @situation("what stops keeps its room until its end is listed")
 async def stop_and_start(site):
-    """Offer a full worker more while it stops what it runs."""
+    """Offer full workers more while their stops are lost for a while."""
     _, running = await _submit(site, 0, 12)
+    for node in site.nodes:
+        node.worker.losing_stops = 1.0
     running.cancel()
-    await asyncio.sleep(0.003)
+    await asyncio.sleep(0.2)
     await _submit(site, 1, 4)
+    for node in site.nodes:
+        node.worker.losing_stops = 0.0
     await asyncio.sleep(1)
 
 
@@ -92,3 +100,10 @@
     await asyncio.sleep(0.5)
     again.cancel()
     await asyncio.sleep(0.5)
+
+
+def _drain(workers, *, draining):
+    """Let workers report that they leave, or that they stay."""
+    for each in workers:
+        each.draining = draining
+        each.report()
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import random
 
 from jujubeglade.core import clock, link, metrics
 from jujubeglade.direct import (
+    announcer,
     beliefs,
     contract,
     dispatcher,
@@ -34,6 +36,7 @@
         "_handler",
         "_loop",
         "_peer",
+        "_under_way",
         "heard_ms",
         "is_open",
         "remote",
@@ -50,6 +53,7 @@
         self.is_open = True
         self._handler = handler
         self._peer = None
+        self._under_way = collections.deque()
         self._loop = asyncio.get_running_loop()
         self._closed = self._loop.create_future()
         self.heard_ms = self._loop.time() * clock.MILLISECONDS_PER_SECOND
@@ -61,14 +65,19 @@
     def send(self, body):
         """Deliver a message after the delay, if the link is still open then."""
         if self.is_open:
-            self._loop.call_later(
-                clock.seconds(_DELAY_MS), self._peer.receive, body, self
-            )
+            self._under_way.append(body)
+            self._loop.call_later(clock.seconds(_DELAY_MS), self._deliver)
         return self.is_open
 
-    def receive(self, body, sender):
+    def _deliver(self):
+        """Hand the oldest message on: timers of one moment may run in any order."""
+        body = self._under_way.popleft()
+        if self.is_open:
+            self._peer.receive(body)
+
+    def receive(self, body):
         """Take a message."""
-        if self.is_open and sender.is_open:
+        if self.is_open:
             self.heard_ms = self._loop.time() * clock.MILLISECONDS_PER_SECOND
             self._handler.on_message(self, body)
 
@@ -94,6 +103,7 @@
     worker: direct_worker.SimulatedWorker
     runner: runner.Runner
     owners: dict
+    announcer: announcer.Announcer
     task: asyncio.Task
     frozen: bool = False
 
@@ -107,11 +117,12 @@
             self.runner.begin(owner, body)
         elif isinstance(body, contract.Halt):
             self.runner.halt(owner, body)
+        elif isinstance(body, contract.Beat):
+            owner.is_waiting = body.is_waiting
 
-    def send_rooms(self):
-        """Tell every entry the room."""
-        for owner in self.owners.values():
-            owner.send(self.runner.room(owner, 0, 0))
+    def room(self, owner):
+        """Describe the room for an entry."""
+        return self.runner.room(owner, 0, 0)
 
 
 class Site:
@@ -140,11 +151,18 @@
         name = f"entry-{len(self.entries)}"
         identity = link.Identity("entry", name, f"{name}.{self._lives}", zone)
         self.entries.append((identity, held))
+        self._register_entries()
         self.killed[identity.incarnation] = asyncio.Event()
         for node in self.nodes:
             self.connect(node, identity, held)
         return held
 
+    def _register_entries(self):
+        """Let everyone know which entries there are, as the store does."""
+        names = tuple(identity.name for identity, _ in self.entries)
+        revision = self.beliefs.members.revision + 1
+        self.beliefs.offer(contract.Members(revision, names), "store")
+
     async def add_node(self, zone, cpu):
         """Start a worker and its agent."""
         name = f"worker-{len(self.nodes)}"
@@ -160,13 +178,14 @@
     def _new_life(self, name, zone, held):
         self._lives += 1
         identity = link.Identity("agent", name, f"{name}.{self._lives}", zone)
-        node = Node(identity, held, None, {}, None)
+        node = Node(identity, held, None, {}, None, None)
+        node.announcer = announcer.new_announcer(self.clock, node.owners, node.room)
         node.runner = runner.Runner(
             held,
             self.clock,
             held.hold_ms,
             lambda: False,
-            node.send_rooms,
+            node.announcer,
             metrics.open_metrics(),
         )
         node.task = self.loop.create_task(node.runner.run())
@@ -200,7 +219,7 @@
         entry.on_link(far)
         self.loop.create_task(self._watch(entry, far))
         owner.send(node.runner.roster(owner))
-        owner.send(node.runner.room(owner, 0, 0))
+        node.announcer.tell(owner)
 
     async def _watch(self, entry, far):
         await far.wait_closed()
@@ -210,6 +229,7 @@
         """Kill an entry: its links close, its clients hear nothing."""
         identity, _ = self.entries.pop(index)
         self.killed[identity.incarnation].set()
+        self._register_entries()
         for node in self.nodes:
             owner = node.owners.get(identity.incarnation)
             if owner is not None:
@@ -220,12 +240,11 @@
         while True:
             await asyncio.sleep(clock.seconds(_TICK_MS))
             for _, held in self.entries:
-                for known in held.fleet:
-                    known.link.send(contract.Beat(0, 0))
+                held.beat()
                 held.tick()
             for node in self.nodes:
                 self._drop_silent(node)
-                node.send_rooms()
+                node.announcer.beat()
 
     def _drop_silent(self, node):
         now_ms = self.clock.elapsed_ms()
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -9,14 +9,13 @@
 
 from jujubeglade.core import clock, link, log, metrics
 from jujubeglade.direct import (
+    announcer,
     contract,
     owners,
     process,
     runner,
 )
 
-#: Changes of the room within this time leave in one message.
-_ROOM_PACE_MS = 2
 _TICK_MS = 50
 _REDIAL_FIRST_MS = 50
 _REDIAL_LAST_MS = 400
@@ -40,18 +39,21 @@
         """
         super().__init__(settings, wall, "agent")
         self._port = self._platform.open_port(settings)
+        # The owners by incarnation.
+        self._owners = {}
+        self._announcer = announcer.new_announcer(
+            wall, self._owners, self._describe_room
+        )
         self._runner = runner.Runner(
             self._port,
             wall,
             settings.hold_ms,
             self._is_evacuated,
-            self._on_change,
+            self._announcer,
             self._metrics,
         )
-        # The owners by incarnation, and the tasks that dial the entries by address.
-        self._owners = {}
+        # The tasks that dial the entries, by address.
         self._dialing = {}
-        self._is_room_due = False
 
     async def start(self):
         """Open the ports and start the tasks."""
@@ -67,7 +69,7 @@
         """Leave gracefully: take no new attempt, and let the others end."""
         _log.info("leaving")
         self._runner.leaving = True
-        self._on_change()
+        self._announcer.on_state()
         grace_ms = self._settings.grace_ms - _LAST_MS
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(clock.seconds(grace_ms)):
@@ -117,6 +119,7 @@
 
     def _take_beat(self, owner, beat):
         owner.known = (beat.revision, beat.members)
+        owner.is_waiting = beat.is_waiting
         for view in self._beliefs.newer_than(*owner.known):
             owner.send(view)
 
@@ -133,7 +136,7 @@
             for view in self._beliefs.newer_than(*owner.known):
                 owner.send(view)
         self._dial_entries()
-        self._on_change()
+        self._announcer.on_state()
 
     def _dial_entries(self):
         """Dial every entry that the store or the settings name."""
@@ -180,32 +183,17 @@
             owner.relink(opened, now_ms)
         _log.info("entry reached", entry=opened.remote.name, incarnation=incarnation)
         owner.send(self._runner.roster(owner))
-        self._send_room(owner)
+        self._announcer.tell(owner)
         await opened.run()
         _log.warning("entry lost", entry=opened.remote.name, incarnation=incarnation)
 
-    def _on_change(self):
-        """Tell the entries the room, soon and once."""
-        if self._is_room_due:
-            return
-        self._is_room_due = True
-        loop = asyncio.get_running_loop()
-        loop.call_later(clock.seconds(_ROOM_PACE_MS), self._send_rooms)
-
-    def _send_rooms(self):
-        self._is_room_due = False
-        for owner in self._owners.values():
-            self._send_room(owner)
-
-    def _send_room(self, owner):
-        if owner.link.is_open:
-            revision = self._beliefs.operators.revision
-            members = self._beliefs.members.revision
-            owner.send(self._runner.room(owner, revision, members))
+    def _describe_room(self, owner):
+        """Describe the room for an owner, with the revisions held here."""
+        revision = self._beliefs.operators.revision
+        return self._runner.room(owner, revision, self._beliefs.members.revision)
 
     async def _tick(self):
         """Send heartbeats, and let go of owners that are lost."""
-        beat_ms = 0
         while True:
             await asyncio.sleep(clock.seconds(_TICK_MS))
             now_ms = self._clock.elapsed_ms()
@@ -214,9 +202,7 @@
                     self._runner.drop_owner(owner)
                     owner.link.abort()
                     del self._owners[incarnation]
-            if now_ms - beat_ms >= contract.BEAT_MS:
-                beat_ms = now_ms
-                self._send_rooms()
+            self._announcer.beat()
 
 
 def new_agent(settings):
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -9,7 +9,7 @@
 | agent | Room    | what the worker can take; also the agent's heartbeat    |
 | agent | Refused | an attempt never started here and never will            |
 | agent | Ended   | an attempt ended                                        |
-| entry | Beat    | the owner is alive                                      |
+| entry | Beat    | the owner is alive, and whether it waits for room       |
 | entry | Begin   | start an attempt                                        |
 | entry | Halt    | stop an attempt                                         |
 | both  | OperatorState, Members | the newer view that the other side lacks |
@@ -59,10 +59,12 @@
     Attributes:
       revision: An integer, of the OperatorState it holds.
       members: An integer, the revision of the Members it holds.
+      is_waiting: A boolean, whether tasks of it wait for room.
     """
 
     revision: int
     members: int
+    is_waiting: bool
 
 
 @message.register(87)
@@ -152,12 +154,15 @@
       run: An integer.
       how: A string, an End.
       ran_ms: A number, from its start to its end as the agent saw them.
+      keeps_room: A boolean, whether the owner may use the room again at once; if not,
+        another owner has been told of it first.
     """
 
     task: job.TaskName
     run: int
     how: str
     ran_ms: float
+    keeps_room: bool
 
 
 @message.register(92)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -15,15 +15,12 @@
     job,
     outlooks,
     owned,
-    placement,
     policy,
-    queueing,
+    pump,
 )
 
 #: The answer leaves this long before the client stops waiting.
 _ANSWER_MARGIN_MS = 15
-#: So many jobs that find no room end a round of placing.
-_MAX_MISSES = 8
 _RETRY_AFTER_MS = 500.0
 #: The class of jobs under which their latencies are shown.
 _CLASS = "direct"
@@ -39,15 +36,12 @@
         "_beliefs",
         "_clock",
         "_fleet",
-        "_is_pump_due",
         "_jobs",
         "_key",
         "_leftovers",
         "_metrics",
-        "_place",
-        "_queue",
-        "_serving_cpu",
-        "_zone",
+        "_pump",
+        "_said_waiting",
     )
 
     def __init__(self, wall, zone, hold_ms, beliefs, held_metrics):
@@ -61,18 +55,15 @@
           held_metrics: A Metrics.
         """
         self._clock = wall
-        self._zone = zone
         self._beliefs = beliefs
         self._metrics = held_metrics
         self._fleet = fleet.new_fleet(hold_ms)
-        self._queue = queueing.Queue()
+        self._pump = pump.Pump(wall, self._fleet, zone, beliefs, self)
         self._jobs = {}
         # What is still to end of jobs that were answered: runs by TaskName.
         self._leftovers = {}
-        self._serving_cpu = 0
-        self._is_pump_due = False
+        self._said_waiting = False
         self._admit = policy.find("admission", "in_time")
-        self._place = policy.find("placement", "fast_first")
         self._key = policy.find("queueing", "latest_start")
 
     @property
@@ -110,9 +101,7 @@
         """
         held = self._jobs.get(submission.job_id)
         if held is None:
-            if self._is_pump_due:
-                # What finds room does not count as waiting.
-                self._pump()
+            self._pump.catch_up()
             held = owned.OwnedJob(submission, route, self._clock.now_ms())
             refused = self._refusal(held)
             if refused is not None:
@@ -164,6 +153,7 @@
             incarnation=opened.remote.incarnation,
             holding=len(known.holding),
         )
+        opened.send(self._beat())
 
     def on_link_lost(self, opened):
         """Note that the link of an agent has closed.
@@ -200,6 +190,25 @@
         else:
             self._beliefs.offer(body, opened.remote.name)
 
+    def beat(self):
+        """Tell all agents that this entry lives, and whether tasks wait for room."""
+        said = self._beat()
+        self._said_waiting = said.is_waiting
+        for known in self._fleet:
+            known.link.send(said)
+
+    def on_waiting(self):
+        """Note that tasks have found no room; agents that don't know are told."""
+        if not self._said_waiting:
+            self.beat()
+
+    def _beat(self):
+        return contract.Beat(
+            self._beliefs.operators.revision,
+            self._beliefs.members.revision,
+            len(self._pump.queue) > 0,
+        )
+
     def tick(self):
         """Let go of workers that are gone, and place what waits."""
         now_ms = self._clock.now_ms()
@@ -208,7 +217,7 @@
                 self._release(known, task)
                 self._try_again(task, contract.End.LOST)
             self._fleet.forget(known)
-        self._pump_soon()
+        self._pump.refresh_all()
 
     def _refusal(self, held):
         """Decide whether to take a job; None when it is taken."""
@@ -219,7 +228,7 @@
                 return job.Outcome(job.State.FAILED, "larger than any worker")
         held.key = self._key(held.arrival())
         entries = len(self._beliefs.members.addresses)
-        outlook = outlooks.look(self._fleet, self._queue, held, entries)
+        outlook = outlooks.look(self._fleet, self._pump.queue, held, entries)
         retry_after_ms = self._admit(outlook)
         if not retry_after_ms:
             return None
@@ -239,7 +248,6 @@
 
     def _take(self, held):
         self._jobs[held.submission.job_id] = held
-        self._queue.add(held)
         left_ms = held.submission.patience_ms - _ANSWER_MARGIN_MS
         loop = asyncio.get_running_loop()
         held.timer = loop.call_later(
@@ -253,10 +261,9 @@
             tasks=sum(held.left),
             objective_ms=int(held.due_ms - held.taken_ms),
             patience_ms=int(held.submission.patience_ms),
-            waiting=len(self._queue),
-            serving_cores=self._serving_cpu // 1000,
+            waiting=len(self._pump.queue),
         )
-        self._pump_soon()
+        self._pump.add(held)
 
     def _give_up(self, held):
         """Answer a job whose client stops waiting."""
@@ -267,7 +274,7 @@
         """Answer a job, and stop what may still run of it."""
         held.timer.cancel()
         self._jobs.pop(held.submission.job_id, None)
-        self._queue.remove(held)
+        self._pump.queue.remove(held)
         for task in held.sent():
             self._leftovers[task.name] = task
             task.worker.halt(task.name, task.run)
@@ -291,7 +298,7 @@
             latency_ms=int(latency_ms),
             late_ms=int(now_ms - held.due_ms),
             left=sum(held.left),
-            waiting=len(self._queue),
+            waiting=len(self._pump.queue),
             **inputs,
         )
         self._metrics.count(metrics.Counter.ANSWERED, str(state))
@@ -301,8 +308,7 @@
         self._fleet.note_room(known, room, self._clock.now_ms())
         for view in self._beliefs.newer_than(*known.known):
             known.link.send(view)
-        if len(self._queue):
-            self._pump_soon()
+        self._pump.refresh(known)
 
     def _take_refused(self, known, refused):
         task = self._released(known, refused.task, refused.run)
@@ -326,6 +332,9 @@
         task = self._released(known, ended.task, ended.run)
         if task is None:
             return
+        if ended.keeps_room:
+            known.note_ended(task.step.needs)
+            self._pump.refresh(known)
         if ended.how == contract.End.DONE:
             now_ms = self._clock.now_ms()
             known.health.note_done(ended.ran_ms, task.step.estimate_ms, now_ms)
@@ -357,7 +366,6 @@
 
     def _release(self, known, task):
         del known.holding[task.name]
-        self._serving_cpu -= task.step.needs.cpu
         if self._leftovers.get(task.name) is task:
             del self._leftovers[task.name]
         task.worker = None
@@ -371,8 +379,7 @@
         if held.is_done:
             self._answer(held, job.State.COMPLETED)
         elif held.ready:
-            self._queue.add(held)
-            self._pump_soon()
+            self._pump.add(held)
 
     def _try_again(self, task, how):
         """Let a task whose attempt has ended wait for another one."""
@@ -392,72 +399,45 @@
         if held.answer.done():
             return
         held.ready.insert(0, task)
-        self._queue.add(held)
-        self._pump_soon()
+        self._pump.add(held)
 
-    def _pump_soon(self):
-        if not self._is_pump_due:
-            self._is_pump_due = True
-            asyncio.get_running_loop().call_soon(self._pump)
+    def may_send(self, task):
+        """Tell whether a task may be sent to a worker now.
 
-    def _pump(self):
-        """Send waiting tasks to workers, in the order of the queue."""
-        self._is_pump_due = False
-        now_ms = self._clock.now_ms()
-        timely, late = self._queue.in_turn(now_ms)
-        self._send_in_turn(timely, now_ms)
-        waiting = self._send_in_turn(late, now_ms)
-        for held in waiting:
-            if not held.is_touched:
-                # Others go before it: its client is better off elsewhere.
-                self._answer(held, job.State.REFUSED, "late before it could start")
+        A client may submit a job again; its former attempts end first.
 
-    def _send_in_turn(self, jobs, now_ms):
-        """Send what finds room of some jobs.
-
-        Returns:
-          A list of the jobs that still wait.
+        Args:
+          task: An OwnedTask.
         """
-        waiting = []
-        for held in jobs:
-            if len(waiting) < _MAX_MISSES:
-                self._send_ready(held, now_ms)
-            if held.ready:
-                waiting.append(held)
-            else:
-                self._queue.remove(held)
-        return waiting
-
-    def _send_ready(self, held, now_ms):
-        """Send as many tasks of a job as find room."""
-        waiting = []
-        for number, task in enumerate(held.ready):
-            if not self._send(held, task, now_ms):
-                waiting.append(task)
-                if task.name not in self._leftovers:
-                    # The tasks after it are mostly alike and find no room either.
-                    waiting.extend(held.ready[number + 1 :])
-                    break
-        held.ready = waiting
-
-    def _send(self, held, task, now_ms):
-        """Send a task to a worker if one has room."""
         former = self._leftovers.get(task.name)
-        if former is not None:
-            task.run = max(task.run, former.run + 1)
-            return False
-        request = placement.request_of(task, self._fleet, self._zone)
-        evacuated = self._beliefs.operators.evacuated
-        found = placement.candidates(self._fleet, request, evacuated, now_ms)
-        if not found:
-            return False
-        chosen = self._place(found, request, now_ms)
+        if former is None:
+            return True
+        task.run = max(task.run, former.run + 1)
+        return False
+
+    def give_up_late(self, held):
+        """Refuse a job that waits and can't be in time any more.
+
+        Args:
+          held: An OwnedJob of which nothing has started.
+        """
+        self._answer(held, job.State.REFUSED, "late before it could start")
+
+    def send(self, task, chosen, now_ms, candidates):
+        """Send a task to a worker.
+
+        Args:
+          task: An OwnedTask.
+          chosen: A Worker.
+          now_ms: A number, the monotonic clock.
+          candidates: An integer, how many workers could have taken it.
+        """
+        held = task.owner
         task.worker = chosen
         task.phase = owned.Phase.SENT
         task.sent_ms = now_ms
         held.is_touched = True
         chosen.holding[task.name] = task
-        self._serving_cpu += task.step.needs.cpu
         left_ms = held.deadline_ms - now_ms
         chosen.begin(task.name, task.run, task.step, held.submission.spec, left_ms)
         self._metrics.count(metrics.Counter.STARTED)
@@ -469,6 +449,5 @@
             free_cpu=chosen.free.cpu,
             room_age_ms=int(now_ms - chosen.room_ms),
             pace=round(chosen.health.pace(now_ms), 2),
-            candidates=len(found),
+            candidates=candidates,
         )
-        return True
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -172,7 +172,6 @@
           opened: A Link.
         """
         self._dispatcher.on_link(opened)
-        self._beat(opened)
         self._spawn(self._watch(opened))
 
     def on_message(self, opened, body):
@@ -184,10 +183,6 @@
         """
         self._dispatcher.on_message(opened, body)
 
-    def _beat(self, opened):
-        operators = self._beliefs.operators.revision
-        opened.send(contract.Beat(operators, self._beliefs.members.revision))
-
     def _on_beliefs(self):
         for known in self.fleet:
             for view in self._beliefs.newer_than(*known.known):
@@ -218,8 +213,7 @@
             self._abort_silent()
             if now_ms - beat_ms >= contract.BEAT_MS:
                 beat_ms = now_ms
-                for known in self.fleet:
-                    self._beat(known.link)
+                self._dispatcher.beat()
             self._dispatcher.tick()
 
     def _resume(self, gap_ms):
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -107,6 +107,16 @@
             free = free.minus(needs)
         self._free = free
 
+    def note_ended(self, needs):
+        """Count the room of an attempt of this entry that has ended as free.
+
+        The agent has freed it; its next Room says so too.
+
+        Args:
+          needs: A Resources.
+        """
+        self._free = self._free.plus(needs)
+
     def begin(self, task, run, step, spec, left_ms):
         """Send an attempt.
 
--- a/packages/dispatch/src/jujubeglade/direct/owned.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned.py
@@ -66,6 +66,7 @@
         "tasks",
         "taken_ms",
         "timer",
+        "was_offered",
         "watchers",
     )
 
@@ -88,6 +89,8 @@
         #: Whether a worker may have started something of it.
         self.is_touched = False
         self.answer = asyncio.get_running_loop().create_future()
+        #: Whether the whole fleet has been asked for room since it began to wait.
+        self.was_offered = False
         #: How many requests wait for the answer.
         self.watchers = 0
         self.timer = None
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -15,7 +15,15 @@
 class Owner:
     """One life of an entry, as an agent sees it."""
 
-    __slots__ = ("_ended", "_link", "begun", "heard_ms", "identity", "known")
+    __slots__ = (
+        "_ended",
+        "_link",
+        "begun",
+        "heard_ms",
+        "identity",
+        "is_waiting",
+        "known",
+    )
 
     def __init__(self, opened, now_ms):
         """Begin with an open link.
@@ -30,6 +38,8 @@
         self.begun = 0
         #: The revisions that the owner holds, of its operators' state and members.
         self.known = (0, 0)
+        #: Whether it said lately that tasks of it wait for room.
+        self.is_waiting = False
         self._link = opened
         self._ended = collections.deque(maxlen=_MAX_ENDED)
 
@@ -54,6 +64,7 @@
         self.heard_ms = now_ms
         self.begun = 0
         self.known = (0, 0)
+        self.is_waiting = False
 
     def is_silent(self, now_ms):
         """Tell whether the owner is to be taken as lost.
--- a/packages/dispatch/src/jujubeglade/direct/queueing.py
+++ b/packages/dispatch/src/jujubeglade/direct/queueing.py
@@ -49,26 +49,34 @@
         self._jobs = []
 
     def ahead(self, key):
-        """List the jobs that go before a key."""
-        return [waiting for waiting in self._jobs if waiting.key <= key]
+        """List the jobs that go before a new one of a key."""
+        return [each for each in self._jobs if each.is_touched or each.key <= key]
 
     def in_turn(self, now_ms):
         """List the jobs in the order in which they get workers.
 
-        What can still be answered in time goes first: a job that is late already would
-        only make others late too.
+        What has begun goes first, as its work so far is lost unless the rest of it runs
+        too. Then comes what can still be answered in time: a job that is late already
+        would only make others late too.
 
         Args:
           now_ms: A number, the monotonic clock.
 
         Returns:
-          A pair of lists, the jobs that can be in time and the late ones.
+          A pair of lists, the jobs that have begun or can be in time, and those that
+          are late before they could begin.
         """
+        begun = []
         timely = []
         late = []
         for waiting in self._jobs:
-            (timely if waiting.can_be_timely(now_ms) else late).append(waiting)
-        return timely, late
+            if waiting.is_touched:
+                begun.append(waiting)
+            elif waiting.can_be_timely(now_ms):
+                timely.append(waiting)
+            else:
+                late.append(waiting)
+        return begun + timely, late
 
     def __len__(self):
         """Count the jobs."""
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -44,6 +44,7 @@
     """Runs attempts on one worker."""
 
     __slots__ = (
+        "_announcer",
         "_attempts",
         "_background",
         "_capacity",
@@ -56,7 +57,6 @@
         "_instance",
         "_metrics",
         "_is_evacuated",
-        "_on_change",
         "_port",
         "_report",
         "_responsive",
@@ -66,7 +66,7 @@
         "leaving",
     )
 
-    def __init__(self, port, wall, hold_ms, is_evacuated, on_change, held_metrics):
+    def __init__(self, port, wall, hold_ms, is_evacuated, announcer, held_metrics):
         """Begin without a worker.
 
         Args:
@@ -75,7 +75,7 @@
           hold_ms: An integer, the longest hold of the worker.
           is_evacuated: A function without arguments that tells whether this
             availability zone is out of service.
-          on_change: A function without arguments, called when the room has changed.
+          announcer: An Announcer, told of changes of the room.
           held_metrics: A Metrics.
         """
         self._metrics = held_metrics
@@ -83,7 +83,7 @@
         self._clock = wall
         self._hold_ms = hold_ms
         self._is_evacuated = is_evacuated
-        self._on_change = on_change
+        self._announcer = announcer
         self._attempts = {}
         self._background = background.new_background()
         self._capacity = capacity.new_capacity()
@@ -164,7 +164,7 @@
         now_ms = self._clock.now_ms()
         started = attempt_.new_attempt(owner, begin, now_ms, self._token)
         self._attempts[begin.task] = started
-        self._on_change()
+        self._announcer.on_room()
         self._spawn(self._start(started))
 
     def halt(self, owner, halt):
@@ -210,7 +210,7 @@
             _log.info("worker draining", worker=report.instance.name)
         self._report = report
         self._capacity.resize(report.total)
-        self._on_change()
+        self._announcer.on_state()
 
     def on_left(self, name):
         """Note that the worker has left.
@@ -220,7 +220,7 @@
         """
         if self._instance is not None and self._instance.name == name:
             self._lose_instance("it has left")
-            self._on_change()
+            self._announcer.on_state()
 
     async def run(self):
         """Hold the worker, and watch over the attempts, until cancelled."""
@@ -274,6 +274,7 @@
             needs_cpu=begin.needs.cpu,
         )
         owner.send(contract.Refused(begin.task, begin.run, str(refusal)))
+        self._announcer.tell(owner)
 
     async def _start(self, started):
         """Call the worker for an attempt."""
@@ -333,12 +334,24 @@
             ran_ms=int(ran_ms),
             owner=ended.owner.identity.name,
         )
-        ended.owner.send(contract.Ended(ended.task, ended.run, str(how), ran_ms))
+        heir = self._announcer.offer(ended.owner, ended.begin.needs.cpu, self._in_use)
+        keeps_room = heir is ended.owner
+        ended.owner.send(
+            contract.Ended(ended.task, ended.run, str(how), ran_ms, keeps_room)
+        )
 
     def _release(self, held):
         del self._attempts[held.task]
         self._capacity.give_back(held.task)
-        self._on_change()
+        self._announcer.on_room()
+
+    def _in_use(self, owner):
+        """Return what the attempts of an owner use, in thousandths of a core."""
+        return sum(
+            each.begin.needs.cpu
+            for each in self._attempts.values()
+            if each.owner is owner
+        )
 
     def _halt(self, held):
         if held.halted:
@@ -386,7 +399,7 @@
             self._pass_fence(order.token)
         elif look.answer is worker.Answer.OTHER_INSTANCE:
             self._lose_instance("another life answers")
-            self._on_change()
+            self._announcer.on_state()
             return
         self._note_silent(look.answer)
         await asyncio.sleep(clock.seconds(_RETRY_MS))
@@ -414,7 +427,7 @@
             )
             self._responsive = True
             self._clean = clean
-            self._on_change()
+            self._announcer.on_state()
 
     def _take_finished(self, finished):
         if finished.number <= self._cursor:
@@ -447,14 +460,14 @@
             self._spawn(self._stop_foreign(key))
         if self._foreign - found:
             self._foreign &= found
-            self._on_change()
+            self._announcer.on_state()
 
     def _note_silent(self, answer):
         """Stop relying on a worker that does not answer."""
         if self._responsive:
             self._responsive = False
             _log.warning("worker silent", worker=self._instance.name, answer=answer)
-            self._on_change()
+            self._announcer.on_state()
         if not self._hold.has_lapsed(self._clock.now_ms()):
             return
         for held in list(self._attempts.values()):
