Recall a worker from the store when its agent restarts, and refuse less while the fleet gathers

Ruled out: links and the store (agents reach the entries and the operators' state within 40 ms of their start). Change: an agent keeps a copy of the last report in the store and asks that worker at once; the worker has to answer in the same life before anything starts, and without a report the copy counts for 2 s. An entry that has just started, or whose agents have just come without a worker, takes jobs and refuses none as late. An agent that knows nothing of the operators yet takes its zone for evacuated. Before: the scenario of a silent worker failed (no agent took work). After: it passes, with those of draining, unreadable and foreign copies.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -145,6 +145,45 @@
       | text a:b     |
       | text :0      |
 
+  Scenario: An agent that restarts serves before its worker's next report
+    Given a platform site of 1 entries and 1 workers
+    When the store has a copy of every worker
+    And worker 0 keeps silent about itself
+    And agent 0 starts again
+    Then agents reach entry 0 within 1000 ms
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+  Scenario: A worker that was only recalled is not relied on for long
+    Given a platform site of 1 entries and 1 workers
+    When the store has a copy of every worker
+    And worker 0 keeps silent about itself
+    And agent 0 starts again
+    And 2500 ms pass
+    Then no agent of entry 0 takes work
+
+  Scenario: A worker that drains is not recalled
+    Given a platform site of 1 entries and 1 workers
+    When the store has a copy of every worker
+    And worker 0 drains
+    And 700 ms pass
+    And worker 0 keeps silent about itself
+    And agent 0 starts again
+    And 300 ms pass
+    Then no agent of entry 0 takes work
+
+  Scenario Outline: A copy that can't be read, or is of another worker, is passed over
+    Given a platform site of 1 entries and 1 workers
+    When the key of agent 0's worker holds <value>
+    And agent 0 starts again
+    Then agents reach entry 0 within 1500 ms
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+    Examples:
+      | value                    |
+      | bytes ff fe              |
+      | text nothing             |
+      | a copy of another worker |
+
   Scenario: An entry registers again after its key was taken away
     Given a platform site of 1 entries and 1 workers
     When the entries' keys vanish from the store
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,6 +13,7 @@
 from behave import given, then, when
 
 from jujubeglade.core import log
+from jujubeglade.direct import job, recall, worker
 from jujubeglade.fakes import platform_site
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -134,6 +135,51 @@
     _wait(context, _SETTLE_S)
 
 
+@when("the key of agent {index:d}'s worker holds a copy of another worker")
+def step_other_copy(context, index):
+    instance = worker.Instance("gone", 0)
+    total = job.Resources(64_000, 1 << 18, 0)
+    former = worker.Report(instance, 1, "parts", (), total, False)
+    _put_copy(context, index, recall.pack(former))
+
+
+@when("the key of agent {index:d}'s worker holds {kind:w} {value}")
+def step_foreign_copy(context, index, kind, value):
+    _put_copy(
+        context, index, bytes.fromhex(value) if kind == "bytes" else value.encode()
+    )
+
+
+@when("the store has a copy of every worker")
+def step_copied(context):
+    wanted = len(context.site.workers)
+    keys = context.site.store.keys
+    assert _within(context, 2000, lambda: len(keys(recall.PREFIX)) == wanted)
+
+
+@when("worker {index:d} keeps silent about itself")
+def step_no_reports(context, index):
+    context.site.workers[index].is_reporting = False
+
+
+@when("agent {index:d} starts again")
+def step_restart_agent(context, index):
+    context.runner.run(context.site.agents[index].close())
+    context.runner.run(context.site.start_agent(index))
+
+
+@when("{ms:d} ms pass")
+def step_pass(context, ms):
+    _wait(context, ms / 1000)
+
+
+@then("no agent of entry {index:d} takes work")
+def step_none_accepting(context, index):
+    fleet = context.site.entries[index].fleet
+    assert len(list(fleet)) > 0
+    assert not any(each.is_accepting for each in fleet)
+
+
 @when("the entries' keys vanish from the store")
 def step_vanish(context):
     context.site.store.lapse("jujubeglade/entries/")
@@ -288,6 +334,10 @@
     context.runner.run(asyncio.sleep(seconds))
 
 
+def _put_copy(context, index, data):
+    context.site.store.put_bytes(f"{recall.PREFIX}agent-{index}", data)
+
+
 def _within(context, ms, condition):
     """Wait until a condition holds; tell whether it did in time."""
     end = time.monotonic() + ms / 1000
--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -38,6 +38,8 @@
         chance = random.Random(name)
         self.inner = direct_worker.SimulatedWorker(name, total, witness, chance)
         self.inner.attach(self)
+        #: Whether it reports now and then; it does all else as ever.
+        self.is_reporting = True
         self._control = control
         self._runner = None
         self._reporting = None
@@ -111,7 +113,8 @@
             state = "draining" if self.inner.draining else "ready"
             # While the agent is away reports fail; a later one finds it again.
             with contextlib.suppress(aiohttp.ClientError):
-                await self.send("PUT", self.report(sequence, state))
+                if self.is_reporting:
+                    await self.send("PUT", self.report(sequence, state))
             await asyncio.sleep(_REPORT_MS / 1000)
 
     async def _start(self, request):
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -13,6 +13,8 @@
     contract,
     owners,
     process,
+    recall,
+    route,
     runner,
 )
 
@@ -61,6 +63,8 @@
         await self._port.open(self._runner)
         await self._open(self._measure)
         self._spawn(self._runner.run())
+        name = self._settings.name
+        self._spawn(recall.Recall(self._store, name, self._runner).run())
         self._spawn(self._tick())
         self._dial_entries()
         _log.info("started", incarnation=self._identity.incarnation)
@@ -129,7 +133,9 @@
         self._metrics.set(metrics.Gauge.REVISION, self._beliefs.operators.revision)
 
     def _is_evacuated(self):
-        return self._settings.zone in self._beliefs.operators.evacuated
+        """Tell whether the zone is out of service, or may be for all that is known."""
+        operators = self._beliefs.operators
+        return operators is route.NO_STATE or self._settings.zone in operators.evacuated
 
     def _on_beliefs(self):
         for owner in self._owners.values():
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -57,7 +57,7 @@
         self._clock = wall
         self._beliefs = beliefs
         self._metrics = held_metrics
-        self._fleet = fleet.new_fleet(hold_ms)
+        self._fleet = fleet.new_fleet(hold_ms, wall.now_ms())
         self._pump = pump.Pump(wall, self._fleet, zone, beliefs, self)
         self._jobs = {}
         # What is still to end of jobs that were answered: runs by TaskName.
@@ -146,7 +146,7 @@
         Args:
           opened: A Link.
         """
-        known = self._fleet.join(opened)
+        known = self._fleet.join(opened, self._clock.now_ms())
         _log.info(
             "worker reached",
             worker=opened.remote.name,
@@ -230,7 +230,7 @@
         entries = len(self._beliefs.members.addresses)
         outlook = outlooks.look(self._fleet, self._pump.queue, held, entries)
         retry_after_ms = self._admit(outlook)
-        if not retry_after_ms:
+        if not retry_after_ms or self._fleet.is_gathering(held.taken_ms):
             return None
         serving_cpu = sum(load.cpu for load in outlook.running)
         self._log_answer(
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -10,6 +10,10 @@
 #: `contract.SILENCE_MS`; if it could not, the worker's hold has run out. This is for
 #: a slow clock, a call on its way, and the stop itself.
 _STOP_MARGIN_MS = 250
+#: A worker reports within this time after its agent has come.
+_REPORT_MS = 2000
+#: Agents that run dial an entry that has come back within this time.
+_DIAL_MS = 500
 _NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0)
 
 
@@ -25,19 +29,22 @@
         "health",
         "holding",
         "identity",
+        "joined_ms",
         "known",
         "lost_ms",
         "room_ms",
     )
 
-    def __init__(self, opened):
+    def __init__(self, opened, now_ms):
         """Begin with an open link.
 
         Args:
           opened: A Link.
+          now_ms: A number, the monotonic clock.
         """
         self.identity = opened.remote
         self.health = health.new_health()
+        self.joined_ms = now_ms
         #: The tasks that it may run for this entry, by TaskName.
         self.holding = {}
         #: When the link was lost; None while it is open.
@@ -78,6 +85,15 @@
         """Tell whether attempts may be sent."""
         return self.lost_ms is None and self._room.accepting
 
+    def is_expected(self, now_ms):
+        """Tell whether the agent has just come and its worker has yet to report.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        is_bare = self.lost_ms is None and not self._room.service
+        return is_bare and now_ms - self.joined_ms < _REPORT_MS
+
     def relink(self, opened):
         """Go on with a new link.
 
@@ -156,14 +172,16 @@
 class Fleet:
     """The workers that an entry knows."""
 
-    __slots__ = ("_gone_after_ms", "_largest", "_workers")
+    __slots__ = ("_begun_ms", "_gone_after_ms", "_largest", "_workers")
 
-    def __init__(self, hold_ms):
+    def __init__(self, hold_ms, now_ms):
         """Start with no worker.
 
         Args:
           hold_ms: An integer, the longest hold of a worker.
+          now_ms: A number, the monotonic clock.
         """
+        self._begun_ms = now_ms
         self._workers = {}
         # The largest worker seen of each service.
         self._largest = {}
@@ -177,11 +195,25 @@
         """Find a worker by the incarnation of its agent; None if unknown."""
         return self._workers.get(incarnation)
 
-    def join(self, opened):
+    def is_gathering(self, now_ms):
+        """Tell whether more workers are about to be known.
+
+        That is so when this entry has just started, and while agents have just come
+        whose workers have yet to report: after a restart of either or of both.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        if now_ms - self._begun_ms < _DIAL_MS:
+            return True
+        return any(each.is_expected(now_ms) for each in self._workers.values())
+
+    def join(self, opened, now_ms):
         """Take an agent's link.
 
         Args:
           opened: A Link.
+          now_ms: A number, the monotonic clock.
 
         Returns:
           A Worker.
@@ -189,7 +221,7 @@
         incarnation = opened.remote.incarnation
         known = self._workers.get(incarnation)
         if known is None:
-            known = self._workers[incarnation] = Worker(opened)
+            known = self._workers[incarnation] = Worker(opened, now_ms)
         else:
             known.relink(opened)
         return known
@@ -272,13 +304,14 @@
         self._workers.pop(known.identity.incarnation, None)
 
 
-def new_fleet(hold_ms):
+def new_fleet(hold_ms, now_ms):
     """Make the fleet of an entry that has just started.
 
     Args:
       hold_ms: An integer, the longest hold of a worker.
+      now_ms: A number, the monotonic clock.
 
     Returns:
       A Fleet.
     """
-    return Fleet(hold_ms)
+    return Fleet(hold_ms, now_ms)
--- a/packages/dispatch/src/jujubeglade/direct/pump.py
+++ b/packages/dispatch/src/jujubeglade/direct/pump.py
@@ -106,8 +106,9 @@
         self._refreshed.clear()
         timely, late = self._queue.in_turn(now_ms)
         self._offer(timely, grown, now_ms)
+        is_gathering = self._fleet.is_gathering(now_ms)
         for held in self._offer(late, grown, now_ms):
-            if not held.is_touched:
+            if not held.is_touched and not is_gathering:
                 # Others go before it: its client is better off elsewhere.
                 self._desk.give_up_late(held)
         if len(self._queue):
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -16,10 +16,11 @@
 """
 
 import asyncio
+import math
 
 from jujubeglade.core import clock, log, metrics
 from jujubeglade.direct import attempt as attempt_
-from jujubeglade.direct import background, capacity, contract, hold, worker
+from jujubeglade.direct import background, capacity, contract, hold, recall, worker
 
 #: How long a hold may wait for an end; several fit into the shortest hold.
 _WAIT_MS = 300
@@ -27,6 +28,8 @@
 _RETRY_MS = 50
 _SWEEP_MS = 50
 _STOP_AGAIN_MS = 120
+#: A worker that is about to leave says so within this time after an agent restarts.
+_UNCONFIRMED_MS = 2000
 #: Enough to pass any token that an earlier life of this agent may have used.
 _TOKEN_LEAP = 1_000_000
 
@@ -62,6 +65,7 @@
         "_responsive",
         "_retired",
         "_token",
+        "_unconfirmed_until_ms",
         "_wakened",
         "leaving",
     )
@@ -97,6 +101,8 @@
         self._cursor = 0
         # Attempts that the worker runs and that this runner has not started.
         self._foreign = set()
+        # Until when a worker that was only recalled may be started on.
+        self._unconfirmed_until_ms = math.inf
         # Whether the worker has listed what it ran before.
         self._clean = False
         self._responsive = False
@@ -107,6 +113,11 @@
         """Return how many attempts are in hand."""
         return len(self._attempts)
 
+    @property
+    def report(self):
+        """Return the Report of the worker that is known; None without one."""
+        return self._report if self._instance is not None else None
+
     @property
     def is_idle(self):
         """Tell whether nothing may still run."""
@@ -209,6 +220,8 @@
         elif report.draining and not self._report.draining:
             _log.info("worker draining", worker=report.instance.name)
         self._report = report
+        if report.sequence != recall.SEQUENCE:
+            self._unconfirmed_until_ms = math.inf
         self._capacity.resize(report.total)
         self._announcer.on_state()
 
@@ -239,6 +252,8 @@
         """Tell why nothing may start now; None when something may."""
         if self._instance is None or not self._clean or not self._responsive:
             return contract.Refusal.NO_WORKER
+        if self._clock.now_ms() > self._unconfirmed_until_ms:
+            return contract.Refusal.NO_WORKER
         if self._foreign:
             return contract.Refusal.NO_WORKER
         if self._report.draining:
@@ -492,6 +507,7 @@
         self._cursor = 0
         self._clean = False
         self._responsive = False
+        self._unconfirmed_until_ms = self._clock.now_ms() + _UNCONFIRMED_MS
         self._raise_token(self._token + 1)
         self._wakened.set()
 
