Find entries that come back sooner, and play the counters' load in virtual time

Until then 68 jobs were refused as late before they could start, and 40 as without room. Ruled out: agents and workers, which were ready 0.3 s before the entry was. Dialing is split from the agent. Tests: dialing and counter_load, in virtual time.

--- /dev/null
+++ b/features/steps/counter_load_steps.py
@@ -0,0 +1,109 @@
+"""Steps for the load of the users' counters on a site in virtual time."""
+
+import asyncio
+import types
+
+from behave import given, then, when
+
+from jujubeglade.bench import counter_load
+from jujubeglade.direct import job, sharing
+from jujubeglade.fakes import direct_site, virtual
+
+_ZONES = ("zone-0", "zone-1", "zone-2", "zone-3")
+_WORKERS = 11
+_WORKER_CPU = 32_000
+_TASK_CPU = 3100
+
+
+@given("the counters' site")
+def step_site(context):
+    open_site(context, 1)
+
+
+@given("the counters' site, with seed {seed:d}")
+def step_seeded_site(context, seed):
+    open_site(context, seed)
+
+
+@when("the counters' load comes for {seconds:d} s")
+def step_load(context, seconds):
+    play(context, counter_load.Load(_TASK_CPU, seconds))
+
+
+@when(
+    "the counters' load comes for {seconds:d} s, {factor:f} times as much "
+    "from {begin:d} s to {end:d} s"
+)
+def step_burst(context, seconds, factor, begin, end):
+    play(context, counter_load.Load(_TASK_CPU, seconds, 1.0, factor, (begin, end)))
+
+
+@when("the counters' load comes {share:f} times as often for {seconds:d} s")
+def step_overload(context, share, seconds):
+    play(context, counter_load.Load(_TASK_CPU, seconds, share))
+
+
+@then("{share:g} % of the counters' requests are served")
+def step_served(context, share):
+    assert counter_load.tally(context.answers).served * 100 >= share
+
+
+@then("none of the counters' requests is refused")
+def step_none_refused(context):
+    assert counter_load.tally(context.answers).refused == 0
+
+
+@then("{share:g} % of the counters' requests that come after {seconds:d} s are served")
+def step_served_after(context, share, seconds):
+    later = [each for each in context.answers if each.at_s >= seconds]
+    assert counter_load.tally(later).served * 100 >= share
+
+
+@then("each kind and each entry is served at least half as often as all are")
+def step_fair(context):
+    served = counter_load.tally(context.answers).served
+    for part in (lambda each: each.kind.name, lambda each: each.entry):
+        for name, answers in counter_load.split(context.answers, part).items():
+            share = counter_load.tally(answers).served
+            assert share >= served / 2, (name, share, served)
+
+
+@then("{share:d} % of the counters' refusals come before the objective")
+def step_refusals(context, share):
+    refused = [each for each in context.answers if each.state is job.State.REFUSED]
+    early = sum(each.took_ms < each.objective_ms for each in refused)
+    assert refused
+    assert early >= len(refused) * share / 100, f"{early} of {len(refused)}"
+
+
+@given("owners that use")
+def step_owners(context):
+    rows = [(row["owner"], int(row["cpu"]), row["waiting"]) for row in context.table]
+    context.owners = {
+        name: types.SimpleNamespace(name=name, cpu=cpu, is_waiting=waiting == "yes")
+        for name, cpu, waiting in rows
+    }
+
+
+@then("room of {cpu:d} that {owner} freed is told first to {heir}")
+def step_heir(context, cpu, owner, heir):
+    owners = context.owners
+    chosen = sharing.heir(
+        owners[owner], cpu, lambda each: each.cpu, list(owners.values())
+    )
+    assert chosen is owners[heir], chosen
+
+
+def open_site(context, seed):
+    context.runner = asyncio.Runner(loop_factory=virtual.VirtualLoop)
+    context.seed = seed
+    context.site = context.runner.run(
+        direct_site.open_site(_ZONES, _WORKERS, _WORKER_CPU, seed)
+    )
+    context.closers = [context.runner.close]
+
+
+def play(context, load):
+    context.answers = context.runner.run(
+        counter_load.play(context.site, load, context.seed)
+    )
--- a/packages/bench/src/jujubeglade/bench/counter_load.py
+++ b/packages/bench/src/jujubeglade/bench/counter_load.py
@@ -86,6 +86,7 @@
 
     Attributes:
       kind: A Kind.
+      entry: A string, the entry that it asked.
       at_s: A number, when it asked.
       state: A State.
       took_ms: A number.
@@ -94,6 +95,7 @@
     """
 
     kind: Kind
+    entry: str
     at_s: float
     state: job.State
     took_ms: float
@@ -159,12 +161,20 @@
     )
 
 
-def by_kind(answers):
-    """Split answers by the name of their kind, as a dict of lists."""
-    split = collections.defaultdict(list)
+def split(answers, part):
+    """Split answers.
+
+    Args:
+      answers: Answers.
+      part: A function from an Answer to the part that it belongs to.
+
+    Returns:
+      A dict from each part to a list of its Answers.
+    """
+    parts = collections.defaultdict(list)
     for each in answers:
-        split[each.kind.name].append(each)
-    return dict(split)
+        parts[part(each)].append(each)
+    return dict(parts)
 
 
 async def play(site, load, seed):
@@ -198,9 +208,10 @@
         at_s = clock.seconds(site.clock.now_ms() - begun_ms)
         if at_s >= load.seconds:
             return
-        _, entry = site.entries[len(callers) % len(site.entries)]
+        identity, entry = site.entries[len(callers) % len(site.entries)]
         request = _request(site, load, kind, chance, at_s)
-        callers.append(asyncio.create_task(_call(site, entry, request)))
+        call = _call(site, identity.name, entry, request)
+        callers.append(asyncio.create_task(call))
         rate = kind.per_s * load.factor(at_s)
         await asyncio.sleep(chance.expovariate(rate))
 
@@ -229,13 +240,14 @@
     return _Request(kind, at_s, made, objective_ms, weight)
 
 
-async def _call(site, entry, request):
+async def _call(site, name, entry, request):
     """Make one request and wait for its answer."""
     begun_ms = site.clock.now_ms()
     outcome = await entry.submit(request.submission, direct_site.ROUTE)
     took_ms = site.clock.now_ms() - begun_ms
     return Answer(
         request.kind,
+        name,
         request.at_s,
         outcome.state,
         took_ms,
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -221,7 +221,7 @@
                 self._writer.transport.abort()
 
 
-async def dial(address, cluster_key, identity, handler):
+async def dial(address, cluster_key, identity, handler, connect_ms=None):
     """Open a link to another process.
 
     Args:
@@ -229,6 +229,8 @@
       cluster_key: Bytes.
       identity: An Identity, of this process.
       handler: The handler of the link's messages.
+      connect_ms: An integer, how long the connection may take; None for as long as
+        the whole handshake.
 
     Returns:
       A Result of a Link whose `run` the caller must start, or of a Problem.
@@ -236,7 +238,10 @@
     writer = None
     try:
         async with asyncio.timeout(clock.seconds(HANDSHAKE_TIMEOUT_MS)):
-            reader, writer = await asyncio.open_connection(*address)
+            async with asyncio.timeout(
+                clock.seconds(connect_ms or HANDSHAKE_TIMEOUT_MS)
+            ):
+                reader, writer = await asyncio.open_connection(*address)
             opened = await _handshake.dial(reader, writer, cluster_key, identity)
     except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
         if writer is not None:
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -11,6 +11,7 @@
 from jujubeglade.direct import (
     announcer,
     contract,
+    dialing,
     owners,
     process,
     recall,
@@ -19,10 +20,6 @@
 )
 
 _TICK_MS = 50
-_REDIAL_FIRST_MS = 50
-_REDIAL_LAST_MS = 400
-#: A lease may lapse while the entry lives; its address is tried for this long.
-_FORGET_MS = 30_000
 #: The rest of the grace is kept for closing.
 _LAST_MS = 500
 
@@ -54,8 +51,7 @@
             self._announcer,
             self._metrics,
         )
-        # The tasks that dial the entries, by address.
-        self._dialing = {}
+        self._dialer = dialing.Dialer(wall, self._background, self)
 
     async def start(self):
         """Open the ports and start the tasks."""
@@ -146,40 +142,37 @@
 
     def _dial_entries(self):
         """Dial every entry that the store or the settings name."""
-        for address in (*self._beliefs.members.addresses, *self._seeds()):
-            if address not in self._dialing:
-                self._dialing[address] = self._spawn(self._keep_link(address))
-
-    async def _keep_link(self, address):
-        """Keep a link to one address until it is neither listed nor reached."""
-        host, _, port = address.rpartition(":")
-        pause_ms = _REDIAL_FIRST_MS
-        reached_ms = self._clock.now_ms()
-        while (
-            self._is_listed(address) or self._clock.now_ms() - reached_ms < _FORGET_MS
-        ):
-            dialed = await link.dial(
-                (host, int(port)), self._cluster_key, self._identity, self
-            )
-            if dialed.is_ok():
-                pause_ms = _REDIAL_FIRST_MS
-                await self._serve(dialed.ok_value)
-                reached_ms = self._clock.now_ms()
-            await asyncio.sleep(clock.seconds(pause_ms))
-            pause_ms = min(2 * pause_ms, _REDIAL_LAST_MS)
-        del self._dialing[address]
+        self._dialer.follow((*self._beliefs.members.addresses, *self._seeds()))
+
+    async def dial(self, address, connect_ms):
+        """Open a link to an entry.
+
+        Args:
+          address: A string, HOST:PORT.
+          connect_ms: An integer, how long the connection may take.
+
+        Returns:
+          A Result of a Link, or of a Problem.
+        """
+        return await link.dial(
+            dialing.parse(address),
+            self._cluster_key,
+            self._identity,
+            self,
+            connect_ms,
+        )
 
     def _seeds(self):
         """List the entries of the settings, on the port that all entries have."""
         port = self._settings.stream.port
         return tuple(f"{host}:{port}" for host in self._settings.seeds)
 
-    def _is_listed(self, address):
-        members = self._beliefs.members.addresses
-        return address in members or address in self._seeds()
+    async def serve(self, opened):
+        """Work for one entry until the link closes.
 
-    async def _serve(self, opened):
-        """Work for one entry until the link closes."""
+        Args:
+          opened: A Link.
+        """
         incarnation = opened.remote.incarnation
         now_ms = self._clock.elapsed_ms()
         owner = self._owners.get(incarnation)
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -13,7 +13,7 @@
 #: A worker reports within this time after its agent has come.
 _REPORT_MS = 2000
 #: Agents that run dial an entry that has come back within this time.
-_DIAL_MS = 500
+_DIAL_MS = 1000
 _NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0)
 
 
