--- a/features/explain.feature
+++ b/features/explain.feature
@@ -2,7 +2,8 @@
 
   Scenario: A refused request
     Given a platform site of 1 entries and 1 workers that logs
-    When a client submits 4 tasks of 4 cores for 800 ms to entry 0 in the background
+    When 600 ms pass
+    And a client submits 4 tasks of 4 cores for 800 ms to entry 0 in the background
     And a client submits 8 tasks of 4 cores for 800 ms to entry 0
     Then the client gets 503
     And the story of the last request tells "job answered" with "reason=no room in time"
