Tell an entry first of freed room that needs it soonest

Cause: each entry used the room of its own ended tasks again, so a wide job in a hurry waited for the few tasks of its own entry. Change: a heartbeat says by when its entry needs room, and goes out at once (10 ms apart) when that changes; an agent tells the entry that needs room soonest of what has become free. This takes the place of sharing by what each has in use.

--- a/features/counter_load.feature
+++ b/features/counter_load.feature
@@ -27,12 +27,23 @@
       | 1    |
       | 2    |
 
-  Scenario: Freed room is told first to a waiting entry that has less
-    Given owners that use
-      | owner | cpu   | waiting |
-      | a     | 12000 | yes     |
-      | b     | 4000  | yes     |
-      | c     | 0     | no      |
-    Then room of 4000 that a freed is told first to b
-    And room of 4000 that b freed is told first to b
-    And room of 9000 that a freed is told first to a
+  Scenario Outline: Freed room is told first to the entry that needs it soonest
+    Given owners that need room by
+      | owner | ms  |
+      | a     | 500 |
+      | b     | 120 |
+      | c     | inf |
+    Then room that <owner> freed is told first to <heir>
+
+    Examples:
+      | owner | heir |
+      | a     | b    |
+      | b     | b    |
+      | c     | b    |
+
+  Scenario: Freed room stays with its owner while nobody needs any
+    Given owners that need room by
+      | owner | ms  |
+      | a     | inf |
+      | b     | inf |
+    Then room that b freed is told first to b
--- a/features/steps/counter_load_steps.py
+++ b/features/steps/counter_load_steps.py
@@ -76,21 +76,18 @@
     assert early >= len(refused) * share / 100, f"{early} of {len(refused)}"
 
 
-@given("owners that use")
+@given("owners that need room by")
 def step_owners(context):
-    rows = [(row["owner"], int(row["cpu"]), row["waiting"]) for row in context.table]
     context.owners = {
-        name: types.SimpleNamespace(name=name, cpu=cpu, is_waiting=waiting == "yes")
-        for name, cpu, waiting in rows
+        row["owner"]: types.SimpleNamespace(wanted_by_ms=float(row["ms"]))
+        for row in context.table
     }
 
 
-@then("room of {cpu:d} that {owner} freed is told first to {heir}")
-def step_heir(context, cpu, owner, heir):
+@then("room that {owner} freed is told first to {heir}")
+def step_heir(context, owner, heir):
     owners = context.owners
-    chosen = sharing.heir(
-        owners[owner], cpu, lambda each: each.cpu, list(owners.values())
-    )
+    chosen = sharing.heir(owners[owner], list(owners.values()))
     assert chosen is owners[heir], chosen
 
 
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -62,7 +62,7 @@
         """Name the other end."""
         self._peer = peer
 
-    def send(self, body):
+    def send(self, body, encoded=None):
         """Deliver a message after the delay, if the link is still open then."""
         if self.is_open:
             self._under_way.append(body)
@@ -118,7 +118,7 @@
         elif isinstance(body, contract.Halt):
             self.runner.halt(owner, body)
         elif isinstance(body, contract.Beat):
-            owner.is_waiting = body.is_waiting
+            owner.wanted_by_ms = opened.heard_ms + body.slack_ms
 
     def room(self, owner):
         """Describe the room for an entry."""
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -85,11 +85,12 @@
         """Tell whether a question is unanswered."""
         return bool(self._asked)
 
-    def send(self, body):
+    def send(self, body, encoded=None):
         """Send a one-way message.
 
         Args:
           body: A registered message.
+          encoded: Bytes, the body as `message.encode` gives it, when it goes to many.
 
         Returns:
           A boolean, false when the link is closed.
@@ -99,7 +100,7 @@
         sent_counts[_name(body)] += 1
         if not self._unsent:
             self._loop.call_soon(self._flush)
-        self._unsent.append(message.encode(body))
+        self._unsent.append(encoded or message.encode(body))
         return True
 
     async def ask(self, body, timeout_ms):
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -119,7 +119,7 @@
 
     def _take_beat(self, owner, beat):
         owner.known = (beat.revision, beat.members)
-        owner.is_waiting = beat.is_waiting
+        owner.wanted_by_ms = self._clock.now_ms() + beat.slack_ms
         for view in self._beliefs.newer_than(*owner.known):
             owner.send(view)
 
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -48,18 +48,16 @@
         pace_ms = min(contract.BEAT_MS, _ROOM_PACE_MS * len(self._owners))
         self._tell_within(pace_ms)
 
-    def offer(self, owner, freed_cpu, in_use):
+    def offer(self, owner):
         """Offer the room of an attempt that has ended to one owner first.
 
         Args:
           owner: An Owner, of the attempt.
-          freed_cpu: An integer, thousandths of a core.
-          in_use: A function from an Owner to the thousandths of a core it uses.
 
         Returns:
           An Owner; when it is not the one of the attempt, it has been told.
         """
-        heir = sharing.heir(owner, freed_cpu, in_use, self._owners.values())
+        heir = sharing.heir(owner, self._owners.values())
         if heir is not owner:
             self.tell(heir)
         return heir
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -9,7 +9,7 @@
 | agent | Room    | what the worker can take; also the agent's heartbeat    |
 | agent | Refused | an attempt never started here and never will            |
 | agent | Ended   | an attempt ended                                        |
-| entry | Beat    | the owner is alive, and whether it waits for room       |
+| entry | Beat    | the owner is alive, and how soon it needs room          |
 | entry | Begin   | start an attempt                                        |
 | entry | Halt    | stop an attempt                                         |
 | both  | OperatorState, Members | the newer view that the other side lacks |
@@ -59,12 +59,13 @@
     Attributes:
       revision: An integer, of the OperatorState it holds.
       members: An integer, the revision of the Members it holds.
-      is_waiting: A boolean, whether tasks of it wait for room.
+      slack_ms: A number, how long the first of its jobs that wait for room may still
+        wait to be in time; infinite when none waits.
     """
 
     revision: int
     members: int
-    is_waiting: bool
+    slack_ms: float
 
 
 @message.register(87)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -7,8 +7,9 @@
 """
 
 import asyncio
+import math
 
-from jujubeglade.core import clock, log, metrics
+from jujubeglade.core import clock, log, message, metrics
 from jujubeglade.direct import (
     contract,
     fleet,
@@ -22,6 +23,8 @@
 #: The answer leaves this long before the client stops waiting.
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
+#: Agents hear of changes of the need for room at most this often.
+_NEWS_PACE_MS = 10
 #: The class of jobs under which their latencies are shown.
 _CLASS = "direct"
 
@@ -41,7 +44,8 @@
         "_leftovers",
         "_metrics",
         "_pump",
-        "_said_waiting",
+        "_said_by_ms",
+        "_said_ms",
     )
 
     def __init__(self, wall, zone, hold_ms, beliefs, held_metrics):
@@ -62,7 +66,9 @@
         self._jobs = {}
         # What is still to end of jobs that were answered: runs by TaskName.
         self._leftovers = {}
-        self._said_waiting = False
+        # What the agents were told last of when room is needed, and when.
+        self._said_by_ms = math.inf
+        self._said_ms = 0.0
         self._admit = policy.find("admission", "in_time")
         self._key = policy.find("queueing", "latest_start")
 
@@ -193,20 +199,26 @@
     def beat(self):
         """Tell all agents that this entry lives, and whether tasks wait for room."""
         said = self._beat()
-        self._said_waiting = said.is_waiting
+        self._said_ms = self._clock.now_ms()
+        self._said_by_ms = self._said_ms + said.slack_ms
+        encoded = message.encode(said)
         for known in self._fleet:
-            known.link.send(said)
+            known.link.send(said, encoded)
 
-    def on_waiting(self):
-        """Note that tasks have found no room; agents that don't know are told."""
-        if not self._said_waiting:
+    def on_round(self):
+        """Tell agents by when room is needed, if that has changed."""
+        now_ms = self._clock.now_ms()
+        wanted_by_ms = self._pump.wanted_by_ms()
+        if wanted_by_ms == self._said_by_ms:
+            return
+        if now_ms - self._said_ms >= _NEWS_PACE_MS:
             self.beat()
 
     def _beat(self):
         return contract.Beat(
             self._beliefs.operators.revision,
             self._beliefs.members.revision,
-            len(self._pump.queue) > 0,
+            self._pump.wanted_by_ms() - self._clock.now_ms(),
         )
 
     def tick(self):
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import math
 
 from jujubeglade.direct import contract
 
@@ -21,8 +22,8 @@
         "begun",
         "heard_ms",
         "identity",
-        "is_waiting",
         "known",
+        "wanted_by_ms",
     )
 
     def __init__(self, opened, now_ms):
@@ -38,8 +39,8 @@
         self.begun = 0
         #: The revisions that the owner holds, of its operators' state and members.
         self.known = (0, 0)
-        #: Whether it said lately that tasks of it wait for room.
-        self.is_waiting = False
+        #: By when it needs room, on the monotonic clock; infinite if it needs none.
+        self.wanted_by_ms = math.inf
         self._link = opened
         self._ended = collections.deque(maxlen=_MAX_ENDED)
 
@@ -64,7 +65,7 @@
         self.heard_ms = now_ms
         self.begun = 0
         self.known = (0, 0)
-        self.is_waiting = False
+        self.wanted_by_ms = math.inf
 
     def is_silent(self, now_ms):
         """Tell whether the owner is to be taken as lost.
--- a/packages/dispatch/src/jujubeglade/direct/pump.py
+++ b/packages/dispatch/src/jujubeglade/direct/pump.py
@@ -39,7 +39,7 @@
           zone: A string, the availability zone of the entry.
           beliefs: A Beliefs.
           desk: The Dispatcher, with `send(task, worker, now_ms, candidates)`,
-            `may_send(task)`, `give_up_late(held)` and `on_waiting()`.
+            `may_send(task)`, `give_up_late(held)` and `on_round()`.
         """
         self._clock = wall
         self._fleet = workers
@@ -59,6 +59,10 @@
         """Return the Queue."""
         return self._queue
 
+    def wanted_by_ms(self):
+        """Tell by when room is needed, by the monotonic clock; infinite if never."""
+        return self._queue.first_key()
+
     def add(self, held):
         """Let a job wait for workers.
 
@@ -111,8 +115,7 @@
             if not held.is_touched and not is_gathering:
                 # Others go before it: its client is better off elsewhere.
                 self._desk.give_up_late(held)
-        if len(self._queue):
-            self._desk.on_waiting()
+        self._desk.on_round()
 
     def _offer(self, jobs, grown, now_ms):
         """Send what finds room of some jobs.
--- a/packages/dispatch/src/jujubeglade/direct/queueing.py
+++ b/packages/dispatch/src/jujubeglade/direct/queueing.py
@@ -6,6 +6,7 @@
 
 import bisect
 import dataclasses
+import math
 
 from jujubeglade.direct import policy
 
@@ -52,6 +53,10 @@
         """List the jobs that go before a new one of a key."""
         return [each for each in self._jobs if each.is_touched or each.key <= key]
 
+    def first_key(self):
+        """Return the lowest key; infinite without jobs."""
+        return self._jobs[0].key if self._jobs else math.inf
+
     def in_turn(self, now_ms):
         """List the jobs in the order in which they get workers.
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -349,7 +349,7 @@
             ran_ms=int(ran_ms),
             owner=ended.owner.identity.name,
         )
-        heir = self._announcer.offer(ended.owner, ended.begin.needs.cpu, self._in_use)
+        heir = self._announcer.offer(ended.owner)
         keeps_room = heir is ended.owner
         ended.owner.send(
             contract.Ended(ended.task, ended.run, str(how), ran_ms, keeps_room)
@@ -360,14 +360,6 @@
         self._capacity.give_back(held.task)
         self._announcer.on_room()
 
-    def _in_use(self, owner):
-        """Return what the attempts of an owner use, in thousandths of a core."""
-        return sum(
-            each.begin.needs.cpu
-            for each in self._attempts.values()
-            if each.owner is owner
-        )
-
     def _halt(self, held):
         if held.halted:
             return
