--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -20,7 +20,15 @@
 
 from jujubeglade.core import clock, log, metrics
 from jujubeglade.direct import attempt as attempt_
-from jujubeglade.direct import background, capacity, contract, hold, recall, worker
+from jujubeglade.direct import (
+    background,
+    capacity,
+    contract,
+    foreign,
+    hold,
+    recall,
+    worker,
+)
 
 #: How long a hold may wait for an end; several fit into the shortest hold.
 _WAIT_MS = 300
@@ -99,8 +107,7 @@
         self._report = None
         self._hold = None
         self._cursor = 0
-        # Attempts that the worker runs and that this runner has not started.
-        self._foreign = set()
+        self._foreign = foreign.Foreign(self._background, self._stop_foreign)
         # Until when a worker that was only recalled may be started on.
         self._unconfirmed_until_ms = math.inf
         # Whether the worker has listed what it ran before.
@@ -379,12 +386,8 @@
                 await asyncio.sleep(clock.seconds(_STOP_AGAIN_MS))
 
     async def _stop_foreign(self, key):
-        """Stop what this runner has not started."""
-        instance = self._instance
-        while key in self._foreign and instance == self._instance:
-            order = worker.Order(instance, self._token)
-            await self._port.stop(order, *key)
-            await asyncio.sleep(clock.seconds(_STOP_AGAIN_MS))
+        """Ask the worker once to stop what this runner has not started."""
+        await self._port.stop(worker.Order(self._instance, self._token), *key)
 
     async def _hold_once(self):
         """Hold the worker, and draw the conclusions from its answer."""
@@ -460,13 +463,7 @@
 
     def _take_foreign(self, running):
         ours = {held.key for held in self._attempts.values()}
-        found = running - ours
-        for key in found - self._foreign:
-            _log.warning("unknown attempt stopped", task=key[0], run=key[1])
-            self._foreign.add(key)
-            self._spawn(self._stop_foreign(key))
-        if self._foreign - found:
-            self._foreign &= found
+        if self._foreign.update(running - ours):
             self._announcer.on_state()
 
     def _note_silent(self, answer):
@@ -510,7 +507,7 @@
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
         self._retired.add(self._instance)
         self._instance = None
-        self._foreign.clear()
+        self._foreign.forget()
         for held in list(self._attempts.values()):
             self._end(held, contract.End.LOST)
 
