Add a command that plays the counters' load

Cause: the load model of counter_load could be reached by tests only. Ruled out: a scenario of the bench, which runs on a real clock. Conclusion: make counters prints worth, in time, served and refused by kind and window; a scenario runs it.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SECONDS ?= 120
 SEED ?= 1
 
-.PHONY: setup demo test soak lint format docs check-model bench compare capacity
+.PHONY: setup demo test soak lint format docs check-model bench compare capacity \
+	counters
 
 setup: $(VENV)/ready
 
@@ -45,6 +46,10 @@
 compare: setup
 	$(BIN)/python -m jujubeglade.bench compare-placement compare-queueing compare-homes
 
+# The users' counters in virtual time: make counters OPTIONS="--share 1.8 --burst 1".
+counters: setup
+	$(BIN)/python -m jujubeglade.bench.counters $(OPTIONS)
+
 capacity: setup
 	$(BIN)/python -m jujubeglade.bench capacity-fleet capacity-entries \
 		capacity-tasks capacity-memory capacity-changes
--- a/features/counter_load.feature
+++ b/features/counter_load.feature
@@ -27,6 +27,10 @@
       | 1    |
       | 2    |
 
+  Scenario: The command plays a load and prints what callers got
+    When the counters' command plays 3 s without a burst
+    Then it prints a line for all, check, issue, hold and each window
+
   Scenario Outline: Freed room is told first to the entry that needs it soonest
     Given owners that need room by
       | owner | ms  |
--- a/features/steps/counter_load_steps.py
+++ b/features/steps/counter_load_steps.py
@@ -1,6 +1,8 @@
 """Steps for the load of the users' counters on a site in virtual time."""
 
 import asyncio
+import subprocess
+import sys
 import types
 
 from behave import given, then, when
@@ -76,6 +78,24 @@
     assert early >= len(refused) * share / 100, f"{early} of {len(refused)}"
 
 
+@when("the counters' command plays {seconds:d} s without a burst")
+def step_command(context, seconds):
+    options = ["--seconds", str(seconds), "--burst", "1"]
+    context.done = subprocess.run(
+        [sys.executable, "-m", "jujubeglade.bench.counters", *options],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then("it prints a line for all, check, issue, hold and each window")
+def step_printed(context):
+    assert context.done.returncode == 0, context.done
+    names = {line.split("  ")[0] for line in context.done.stdout.splitlines()}
+    assert names == {"all", "check", "issue", "hold", "0 s", "2 s"}, names
+
+
 @given("owners that need room by")
 def step_owners(context):
     context.owners = {
