Offer freed room only to entries whose link is open

Cause: read again; an entry whose link has closed would still be the one that needs room soonest until it is dropped, and nobody would use what it is offered for up to 110 ms. Ruled out: harm (the owner is told at the pace all the same). Conclusion: mended; not measured alone.

--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -57,7 +57,8 @@
         Returns:
           An Owner; when it is not the one of the attempt, it has been told.
         """
-        heir = sharing.heir(owner, self._owners.values())
+        reached = [each for each in self._owners.values() if each.link.is_open]
+        heir = sharing.heir(owner, reached)
         if heir is not owner:
             self.tell(heir)
         return heir
