Soak real processes with random faults, and mend the two faults that it found

Cause, first: a worker crashed and began another life under its id while a start was under way to it. A start without an answer is now settled with the next life, by what it lists under a higher token; it is gone for good only if that life has another name. A list that names another birth than the one asked ends that life at once. Cause, second: SIGHUP in the 0.4 s of imports ended a process (as its default does). Streams between entries and agents have no relay in the soak: an entry listens where it registers.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 
 .PHONY: setup demo test soak lint format docs check-model bench compare capacity \
-	counters
+	counters soak-direct
 
 setup: $(VENV)/ready
 
@@ -39,6 +39,9 @@
 docs: setup
 	$(BIN)/python -m jujubeglade.core.settings_page > docs/SETTINGS.md
 
+soak-direct: setup
+	$(BIN)/python -m jujubeglade.bench.direct_soak --seconds $(SECONDS) --seed $(SEED)
+
 # One scenario: make bench RUN=load80. Longer: make bench OPTIONS=--full.
 bench: setup
 	$(BIN)/python -m jujubeglade.bench $(RUN) --seed $(SEED) $(OPTIONS)
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -84,6 +84,18 @@
     return runner.Runner, "_halt", halt
 
 
+@_mutant("a start under way may reach its worker's next life")
+def _lose_starts():
+    former = runner.Runner._lose_instance
+
+    def lose_instance(self, cause):
+        former(self, cause)
+        for held in list(self._attempts.values()):
+            self._end(held, contract.End.LOST)
+
+    return runner.Runner, "_lose_instance", lose_instance
+
+
 @_mutant("owners that are silent are dropped")
 def _never_silent():
     return owners.Owner, "is_silent", lambda self, now_ms: False
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -89,6 +89,21 @@
     await asyncio.sleep(3)
 
 
+@situation("a start under way may reach its worker's next life")
+async def crash_before_start(site):
+    """Crash the only worker while starts are on their way, which its next life gets."""
+    first, *others = (node.worker for node in site.nodes)
+    first.losing = 1.0
+    first.late_ms = (120, 120)
+    first.knows_lives = False
+    _drain(others, draining=True)
+    await asyncio.sleep(0.05)
+    await _submit(site, 0, 4)
+    first.crash()
+    _drain(others, draining=False)
+    await asyncio.sleep(3)
+
+
 @situation("owners that are silent are dropped")
 async def lose_entry(site):
     """Lose an entry, whose client submits again elsewhere."""
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -196,6 +196,12 @@
     When the process gets SIGTERM
     Then the process ends with code 0 within 6000 ms
 
+  Scenario: A process that is told to reload before it has started goes on
+    Given a platform site of 1 entries and 1 workers
+    When entry 1 begins to run as a process of its own
+    Then it ignores SIGHUP before it has imported all
+    And the process still runs after 2000 ms
+
   Scenario: The platform's names stop at its folder
     Then no module of the product but the adapter and the stand-ins names the platform's fields or calls
     And the adapter has fewer than 1500 lines
--- a/features/run.py
+++ b/features/run.py
@@ -21,7 +21,16 @@
 _FIRST_PORT = 23_000
 _PORTS_EACH = 2_000
 #: Features that take long begin first, so that none is waited for alone at the end.
-_LONG = ("mutants", "failures", "model", "replay", "policies", "soak", "platform")
+_LONG = (
+    "mutants",
+    "failures",
+    "model",
+    "replay",
+    "policies",
+    "soak",
+    "platform",
+    "direct_soak",
+)
 
 
 def known_red():
--- /dev/null
+++ b/features/steps/direct_soak_steps.py
@@ -0,0 +1,19 @@
+"""Steps for soaks of direct jobs: random faults by seed over real processes."""
+
+import asyncio
+
+from behave import then, when
+
+from jujubeglade.bench import direct_soak
+
+
+@when("a soak of direct jobs of {seconds:d} s runs with seed {seed:d}")
+def step_soak(context, seconds, seed):
+    context.report = asyncio.run(direct_soak.run(seconds, seed))
+
+
+@then("that soak finds nothing")
+def step_clean(context):
+    report = context.report
+    assert report.completed > 0, report
+    assert not report.findings, report
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -195,6 +195,13 @@
 
 @when("entry {index:d} runs as a process of its own and gets SIGHUP")
 def step_process(context, index):
+    step_begin_process(context, index)
+    _wait(context, _STARTED_S)
+    context.process.send_signal(signal.SIGHUP)
+
+
+@when("entry {index:d} begins to run as a process of its own")
+def step_begin_process(context, index):
     path = pathlib.Path(tempfile.mkdtemp()) / "settings.json5"
     mapping = context.site.entry_settings(0)
     moved = {
@@ -208,7 +215,16 @@
         stdout=subprocess.DEVNULL,
     )
     context.closers.append(context.process.kill)
-    _wait(context, _STARTED_S)
+
+
+@then("it ignores SIGHUP before it has imported all")
+def step_ignores(context):
+    def ignores():
+        status = pathlib.Path(f"/proc/{context.process.pid}/status").read_text()
+        masks = dict(line.split(":\t") for line in status.splitlines() if "Sig" in line)
+        return int(masks["SigIgn"], 16) >> (signal.SIGHUP - 1) & 1
+
+    assert _within(context, _STARTED_S * 1000, ignores)
     context.process.send_signal(signal.SIGHUP)
 
 
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -24,6 +24,9 @@
         self.violations = []
         #: The worker of each start, in order.
         self.log = []
+        #: The tasks that were begun, and those of which an attempt ended as done.
+        self.begun = set()
+        self.done = set()
 
     @property
     def starts(self):
@@ -33,14 +36,17 @@
     def begin(self, name, task):
         """Note that a worker begins a task."""
         self.log.append(name)
+        self.begun.add(task)
         elsewhere = self.running.setdefault(task, [])
         if elsewhere:
             self.violations.append(f"{task} runs on {elsewhere[0]} and on {name}")
         elsewhere.append(name)
 
-    def end(self, name, task):
+    def end(self, name, task, how=""):
         """Note that a worker ends a task."""
         self.running[task].remove(name)
+        if how == contract.End.DONE:
+            self.done.add(task)
 
     def over_capacity(self, name, used, total):
         """Note that a worker runs more than it can."""
@@ -87,6 +93,8 @@
         self.losing_holds = 0.0
         #: The least and the most time until such an order is carried out, in ms.
         self.late_ms = (310, 4000)
+        #: Whether it refuses calls that are meant for a former life of the same name.
+        self.knows_lives = True
         self.silent = False
         self.draining = False
         self.hold_ms = 1000
@@ -192,7 +200,11 @@
             return await self._no_answer(worker.Look)
         running = tuple((run.task, run.number) for run in self._runs.values())
         return worker.Look(
-            worker.Answer.OK, self._now_ms(), running, tuple(self._finished)
+            worker.Answer.OK,
+            self._now_ms(),
+            running,
+            tuple(self._finished),
+            born_ms=self._born_ms,
         )
 
     def _start(self, order, start):
@@ -240,14 +252,18 @@
     def _end(self, task, how):
         run = self._runs.pop(task)
         run.timer.cancel()
-        self._witness.end(self.name, task)
+        self._witness.end(self.name, task, how)
         self._ended_runs[task] = run.number
         self._ends += 1
         self._finished.append(worker.Finished(self._ends, task, run.number, how))
         self._news.set()
 
     def _admit(self, order):
-        if order.instance != self.instance:
+        if self.knows_lives:
+            is_meant = order.instance == self.instance
+        else:
+            is_meant = order.instance.name == self.name
+        if not is_meant:
             return worker.Answer.OTHER_INSTANCE
         if order.token < self._token:
             return worker.Answer.FENCED
--- a/packages/bench/src/jujubeglade/fakes/platform_store.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_store.py
@@ -130,7 +130,7 @@
     async def _fail(self, request):
         if self.fault == "silent":
             await asyncio.sleep(_LONG_S)
-        if self.fault == "reset":
+        if self.fault == "reset" and request.transport is not None:
             request.transport.abort()
         return web.Response(status=503)
 
--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -141,6 +141,7 @@
             return self._answer(look)
         body = {
             "clockMs": int(look.clock_ms),
+            "born": look.born_ms,
             "running": [[_task_text(task), run, "", 100] for task, run in look.running],
             "finished": [
                 [each.number, _task_text(each.task), each.run, str(each.how), ""]
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -38,6 +38,8 @@
 _STOP_AGAIN_MS = 120
 #: A worker that is about to leave says so within this time after an agent restarts.
 _UNCONFIRMED_MS = 2000
+#: A start that is carried out late is so within this time.
+_LATE_MS = 15_000
 #: Enough to pass any token that an earlier life of this agent may have used.
 _TOKEN_LEAP = 1_000_000
 
@@ -63,6 +65,7 @@
         "_clock",
         "_cursor",
         "_foreign",
+        "_former",
         "_hold",
         "_hold_ms",
         "_instance",
@@ -104,6 +107,8 @@
         self._retired = set()
         self._token = wall.wall_ms()
         self._instance = None
+        # The life known last, which may be over.
+        self._former = None
         self._report = None
         self._hold = None
         self._cursor = 0
@@ -312,9 +317,11 @@
         order = worker.Order(self._instance, self._token)
         start = worker.Start(begin.task, begin.run, begin.spec, until_ms)
         reply = await self._port.start(order, start)
-        if self._attempts.get(started.task) is started:
+        if self._attempts.get(started.task) is not started:
+            return
+        if order.instance == self._instance:
             self._hold.note_clock(reply.clock_ms, self._clock.now_ms())
-            self._take_reply(started, reply.answer)
+        self._take_reply(started, reply.answer)
 
     def _take_reply(self, started, answer):
         """Draw the conclusion from the answer to a start."""
@@ -376,9 +383,11 @@
 
     async def _stop(self, held):
         """Ask the worker to stop an attempt until that has ended."""
-        instance = self._instance
         while self._attempts.get(held.task) is held:
-            order = worker.Order(instance, self._token)
+            if self._instance is None:
+                await asyncio.sleep(clock.seconds(_STOP_AGAIN_MS))
+                continue
+            order = worker.Order(self._instance, self._token)
             reply = await self._port.stop(order, held.task, held.run)
             if reply.answer is worker.Answer.FENCED:
                 self._pass_fence(order.token)
@@ -399,6 +408,11 @@
         look = await self._port.hold(order, self._cursor, until_ms, wait_ms)
         if instance != self._instance:
             return
+        if look.born_ms and look.born_ms != instance.born_ms:
+            # It has begun another life under the name that it had.
+            self._lose_instance("another life answers")
+            self._announcer.on_state()
+            return
         self._hold.note_clock(look.clock_ms, self._clock.now_ms())
         if look.answer is worker.Answer.OK:
             self._apply(look, sent_ms, order.token)
@@ -491,6 +505,8 @@
             service=report.service,
             cpu=report.total.cpu,
         )
+        self._settle_starts(self._former, report.instance)
+        self._former = report.instance
         self._instance = report.instance
         self._hold = hold.new_hold(self._hold_ms, self._clock.now_ms())
         self._cursor = 0
@@ -501,7 +517,11 @@
         self._wakened.set()
 
     def _lose_instance(self, cause):
-        """End everything that ran in a life of the worker that is over."""
+        """End everything that ran in a life of the worker that is over.
+
+        A start that is still under way may be carried out by the next life, if that
+        has the same name; it is settled once that life has listed what it runs.
+        """
         if self._instance is None:
             return
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
@@ -509,7 +529,15 @@
         self._instance = None
         self._foreign.forget()
         for held in list(self._attempts.values()):
-            self._end(held, contract.End.LOST)
+            if held.phase is attempt_.Phase.RUNNING:
+                self._end(held, contract.End.LOST)
+
+    def _settle_starts(self, former, instance):
+        """Let go of starts under way that the new life of a worker does not take."""
+        if former is None or former.name == instance.name:
+            return
+        for held in list(self._attempts.values()):
+            self._never_started(held, contract.Refusal.LOST)
 
     def _raise_token(self, token):
         self._token = max(self._token, token)
@@ -528,6 +556,8 @@
             for held in list(self._attempts.values()):
                 if now_ms > held.end_by_ms:
                     self._halt(held)
+                if self._instance is None and now_ms > held.end_by_ms + _LATE_MS:
+                    self._end(held, contract.End.LOST)
 
     def _spawn(self, coroutine):
         self._background.spawn(coroutine)
--- a/packages/dispatch/src/jujubeglade/direct/worker.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker.py
@@ -135,6 +135,7 @@
       running: A tuple of pairs of a TaskName and a run.
       finished: A tuple of Finished, those above the cursor, in order.
       is_partial: A boolean, whether more ends are there than are listed.
+      born_ms: An integer, the start of the life that answered; 0 if it did not say.
     """
 
     answer: Answer
@@ -142,6 +143,7 @@
     running: tuple = ()
     finished: tuple = ()
     is_partial: bool = False
+    born_ms: int = 0
 
 
 class Port(abc.ABC):
