Settle a start with its worker's next life unless the former life has listed it

Cause: the answer to a start does not say which life of the worker gave it. Ruled out: a late order (the start was answered) and the fix before, which covers starts without an answer. Change: only what a list of its life has shown ends with that life; the rest is settled by what the next life lists. The soak's store stands a closed connection. Before: the situation with the rule left out sees a task run twice.

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -89,6 +89,7 @@
       | what stops keeps its room until its end is listed        |
       | owners that are silent are dropped                       |
       | a start under way may reach its worker's next life       |
+      | an answer to a start does not say which life gave it     |
       | what an agent has not started is not held                |
 
   Scenario: Callers hardly notice that one worker of four is ten times slow
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -96,6 +96,17 @@
     return runner.Runner, "_lose_instance", lose_instance
 
 
+@_mutant("an answer to a start does not say which life gave it")
+def _trust_answer():
+    former = attempt.Attempt.confirm
+
+    def confirm(self, now_ms):
+        former(self, now_ms)
+        self.is_listed = True
+
+    return attempt.Attempt, "confirm", confirm
+
+
 @_mutant("owners that are silent are dropped")
 def _never_silent():
     return owners.Owner, "is_silent", lambda self, now_ms: False
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -104,6 +104,21 @@
     await asyncio.sleep(3)
 
 
+@situation("an answer to a start does not say which life gave it")
+async def crash_unnoticed(site):
+    """Let the only worker begin another life that starts tasks before it reports."""
+    first, *others = (node.worker for node in site.nodes)
+    first.knows_lives = False
+    _drain(others, draining=True)
+    await asyncio.sleep(0.05)
+    first.crash(reports=False)
+    await _submit(site, 0, 4)
+    _drain(others, draining=False)
+    await asyncio.sleep(1)
+    first.report()
+    await asyncio.sleep(2)
+
+
 @situation("owners that are silent are dropped")
 async def lose_entry(site):
     """Lose an entry, whose client submits again elsewhere."""
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -152,15 +152,20 @@
         self._listener = listener
         self.report()
 
-    def crash(self):
-        """End everything that runs, and begin another life."""
+    def crash(self, *, reports=True):
+        """End everything that runs, and begin another life.
+
+        Args:
+          reports: A boolean, whether the new life says so at once.
+        """
         for run in list(self._runs.values()):
             run.timer.cancel()
             self._witness.end(self.name, run.task)
         self._clear()
         self._born_ms += 1
         self._sequence = 0
-        self.report()
+        if reports:
+            self.report()
 
     async def start(self, order, start):
         """Start a task; see `Port.start`."""
--- a/packages/bench/src/jujubeglade/fakes/platform_store.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_store.py
@@ -232,5 +232,7 @@
 
 
 def _port(request):
-    """Return the port that a call came to."""
+    """Return the port that a call came to; 0 when its connection is gone."""
+    if request.transport is None:
+        return 0
     return request.transport.get_extra_info("sockname")[1]
--- a/packages/dispatch/src/jujubeglade/direct/attempt.py
+++ b/packages/dispatch/src/jujubeglade/direct/attempt.py
@@ -22,6 +22,7 @@
         "confirmed_ms",
         "end_by_ms",
         "halted",
+        "is_listed",
         "owner",
         "phase",
         "started_ms",
@@ -46,6 +47,9 @@
         self.confirmed_ms = None
         self.end_by_ms = now_ms + begin.left_ms
         self.halted = False
+        #: Whether the life of the worker that it was sent to has listed it; an answer
+        #: to its start does not say which life gave it.
+        self.is_listed = False
 
     @property
     def task(self):
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -462,6 +462,7 @@
             self._end(held, finished.how)
 
     def _take_running(self, held):
+        held.is_listed = True
         if held.phase is attempt_.Phase.UNRESOLVED:
             held.confirm(self._clock.now_ms())
             if held.halted:
@@ -519,8 +520,9 @@
     def _lose_instance(self, cause):
         """End everything that ran in a life of the worker that is over.
 
-        A start that is still under way may be carried out by the next life, if that
-        has the same name; it is settled once that life has listed what it runs.
+        A start that no list of that life has shown may have been carried out by the
+        next one, if that has the same name; it is settled once that life has listed
+        what it runs.
         """
         if self._instance is None:
             return
@@ -529,8 +531,10 @@
         self._instance = None
         self._foreign.forget()
         for held in list(self._attempts.values()):
-            if held.phase is attempt_.Phase.RUNNING:
+            if held.is_listed:
                 self._end(held, contract.End.LOST)
+            elif held.phase is attempt_.Phase.RUNNING:
+                held.phase = attempt_.Phase.UNRESOLVED
 
     def _settle_starts(self, former, instance):
         """Let go of starts under way that the new life of a worker does not take."""
