Ask for no birth of a worker that never said one

Cause: read again; a worker whose reports name no birth, but whose lists do, would have been taken for another life at every hold, and never be started on. Ruled out: the users' platform, where both name it. Conclusion: mended; 26 scenarios of direct.feature pass.

--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -408,7 +408,7 @@
         look = await self._port.hold(order, self._cursor, until_ms, wait_ms)
         if instance != self._instance:
             return
-        if look.born_ms and look.born_ms != instance.born_ms:
+        if look.born_ms and instance.born_ms not in (0, look.born_ms):
             # It has begun another life under the name that it had.
             self._lose_instance("another life answers")
             self._announcer.on_state()
