Log what each conclusion about an attempt rests on

New lines: attempt halted (cause), attempt of a silent owner, worker lease expired, worker gone, roster received; attempt ended also has halted_for_ms, stop_calls and the token.

--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -78,8 +78,8 @@
 def _release_early():
     original = runner.Runner._halt
 
-    def halt(self, an_attempt):
-        original(self, an_attempt)
+    def halt(self, an_attempt, cause):
+        original(self, an_attempt, cause)
         self._capacity.release(an_attempt.task)
         self._announcer.on_room_change()
 
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -116,7 +116,7 @@
         owner = self.owners[entry_link.remote.incarnation]
         if owner.link is not entry_link:
             return
-        owner.last_received_ms = entry_link.last_received_ms
+        owner.note_received(entry_link.last_received_ms)
         if isinstance(body, contract.Begin):
             self.runner.begin(owner, body)
         elif isinstance(body, contract.Halt):
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -108,7 +108,7 @@
         owner = self._owners.get(link.remote.incarnation)
         if owner is None or owner.link is not link:
             return
-        owner.last_received_ms = self._clock.elapsed_ms()
+        owner.note_received(self._clock.elapsed_ms())
         if isinstance(body, contract.Begin):
             self._runner.begin(owner, body)
         elif isinstance(body, contract.Halt):
--- a/packages/dispatch/src/jujubeglade/direct/attempt.py
+++ b/packages/dispatch/src/jujubeglade/direct/attempt.py
@@ -21,11 +21,13 @@
         "begin",
         "confirmed_ms",
         "end_by_ms",
-        "halted",
+        "halted_ms",
         "is_listed",
         "owner",
+        "owner_silence_ms",
         "phase",
         "started_ms",
+        "stop_calls",
         "token",
     )
 
@@ -46,11 +48,21 @@
         #: When the worker confirmed that it runs; None before.
         self.confirmed_ms = None
         self.end_by_ms = now_ms + begin.left_ms
-        self.halted = False
+        #: When its stop was first requested; None before.
+        self.halted_ms = None
+        #: The number of stops that the worker was sent for it.
+        self.stop_calls = 0
+        #: For how long the owner had been silent when it sent this attempt.
+        self.owner_silence_ms = owner.silence_ms
         #: Whether the worker incarnation that it was sent to has listed it. The answer
         #: to its start is no proof, as it may come from another incarnation.
         self.is_listed = False
 
+    @property
+    def halted(self):
+        """Return whether it is to be stopped."""
+        return self.halted_ms is not None
+
     @property
     def task(self):
         """Return the task's TaskName."""
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -234,6 +234,13 @@
         """Remove workers that are gone, and offer waiting tasks to all workers."""
         now_ms = self._clock.now_ms()
         for worker in self._fleet.gone(now_ms):
+            _log.warning(
+                "worker gone",
+                worker=worker.identity.name,
+                incarnation=worker.identity.incarnation,
+                holding=len(worker.assigned_tasks),
+                lost_for_ms=int(now_ms - worker.lost_ms),
+            )
             for task in list(worker.assigned_tasks.values()):
                 self._release(worker, task)
                 self._retry(task, contract.End.LOST)
@@ -374,6 +381,15 @@
         for ended in roster.ended:
             self._handle_ended(worker, ended)
         attempts = set(roster.attempts)
+        held = {(task.name, task.run) for task in worker.assigned_tasks.values()}
+        _log.info(
+            "roster received",
+            worker=worker.identity.name,
+            listed=len(attempts),
+            ended=len(roster.ended),
+            unknown=_texts(attempts - held),
+            missing=_texts(held - attempts),
+        )
         for task in list(worker.assigned_tasks.values()):
             if (task.name, task.run) not in attempts:
                 self._release(worker, task)
@@ -475,3 +491,8 @@
             pace=round(worker.health.slowdown(now_ms), 2),
             candidates=candidates,
         )
+
+
+def _texts(attempts):
+    """Write pairs of a TaskName and a run as one text for the log."""
+    return " ".join(sorted(f"{name}/{run}" for name, run in attempts))
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -25,6 +25,7 @@
         "identity",
         "known_revisions",
         "room_needed_by_ms",
+        "silence_ms",
     )
 
     def __init__(self, link, now_ms):
@@ -36,6 +37,8 @@
         """
         self.identity = link.remote
         self.last_received_ms = now_ms
+        #: The time between the last two messages.
+        self.silence_ms = 0.0
         #: The number of the last Begin received on the link.
         self.last_begin = 0
         #: The revisions of the OperatorState and the Members that the owner has.
@@ -68,6 +71,15 @@
         self.known_revisions = (0, 0)
         self.room_needed_by_ms = math.inf
 
+    def note_received(self, now_ms):
+        """Record that a message has arrived.
+
+        Args:
+          now_ms: A number, the clock that also counts while the VM is suspended.
+        """
+        self.silence_ms = now_ms - self.last_received_ms
+        self.last_received_ms = now_ms
+
     def is_silent(self, now_ms):
         """Return whether the owner counts as lost.
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -79,6 +79,7 @@
         "_worker_client",
         "_report",
         "_responsive",
+        "_unanswered_polls",
         "_past_instances",
         "_token",
         "_unconfirmed_until_ms",
@@ -130,6 +131,8 @@
         self._clean = False
         # Whether the worker answers polls.
         self._responsive = False
+        # The number of polls in a row that the worker has not answered.
+        self._unanswered_polls = 0
         self.leaving = False
 
     @property
@@ -200,6 +203,14 @@
             return
         now_ms = self._clock.now_ms()
         attempt = attempt_.new_attempt(owner, begin, now_ms, self._token)
+        if attempt.owner_silence_ms > contract.SILENCE_TIMEOUT_MS:
+            _log.warning(
+                "attempt of a silent owner",
+                task=begin.task,
+                run=begin.run,
+                owner=owner.identity.name,
+                silence_ms=int(attempt.owner_silence_ms),
+            )
         self._attempts[begin.task] = attempt
         self._announcer.on_room_change()
         self._spawn(self._start(attempt))
@@ -213,7 +224,7 @@
         """
         attempt = self._attempts.get(halt.task)
         if attempt is not None and attempt.run == halt.run and attempt.owner is owner:
-            self._halt(attempt)
+            self._halt(attempt, "owner asked")
 
     def drop_owner(self, owner):
         """Stop everything that runs for an owner that is lost.
@@ -227,7 +238,7 @@
         if dropped:
             _log.warning("owner lost", owner=owner.identity.name, stopped=len(dropped))
         for attempt in dropped:
-            self._halt(attempt)
+            self._halt(attempt, "owner lost")
 
     def on_report(self, report):
         """Handle a report of the worker.
@@ -305,7 +316,7 @@
         if attempt is not None:
             # The client has submitted the job again to another entry; the attempt of
             # the previous owner must end first.
-            self._halt(attempt)
+            self._halt(attempt, "submitted again")
             return contract.Refusal.DUPLICATE
         return None
 
@@ -372,7 +383,9 @@
     def _end(self, attempt, how):
         """Release an attempt that has ended, and report the end to its owner."""
         self._release(attempt)
-        ran_ms = self._clock.now_ms() - attempt.started_ms
+        now_ms = self._clock.now_ms()
+        ran_ms = now_ms - attempt.started_ms
+        halted_for_ms = now_ms - attempt.halted_ms if attempt.halted else 0
         self._metrics.observe_latency(attempt.begin.service, str(how), ran_ms)
         _log.info(
             "attempt ended",
@@ -380,6 +393,9 @@
             run=attempt.run,
             how=how,
             ran_ms=int(ran_ms),
+            halted_for_ms=int(halted_for_ms),
+            stop_calls=attempt.stop_calls,
+            token=attempt.token,
             owner=attempt.owner.identity.name,
         )
         first = self._announcer.offer(attempt.owner)
@@ -393,10 +409,17 @@
         self._capacity.release(attempt.task)
         self._announcer.on_room_change()
 
-    def _halt(self, attempt):
+    def _halt(self, attempt, cause):
         if attempt.halted:
             return
-        attempt.halted = True
+        attempt.halted_ms = self._clock.now_ms()
+        _log.info(
+            "attempt halted",
+            task=attempt.task,
+            run=attempt.run,
+            cause=cause,
+            ran_ms=int(attempt.halted_ms - attempt.started_ms),
+        )
         if attempt.phase is not attempt_.Phase.STARTING:
             self._spawn(self._stop(attempt))
 
@@ -407,6 +430,7 @@
                 await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
                 continue
             target = worker.Target(self._instance, self._token)
+            attempt.stop_calls += 1
             reply = await self._worker_client.stop(target, attempt.task, attempt.run)
             if reply.answer is worker.Answer.FENCED:
                 self._pass_fence(target.token)
@@ -450,6 +474,7 @@
     def _apply(self, reply, sent_ms, token):
         """Reconcile the attempts with what the worker lists."""
         self._lease.note_answer(self._clock.now_ms())
+        self._unanswered_polls = 0
         for finished in reply.finished:
             self._handle_finished(finished)
         if reply.is_partial:
@@ -507,16 +532,34 @@
 
     def _note_silent(self, answer):
         """Stop relying on a worker that does not answer."""
+        if answer is worker.Answer.UNKNOWN:
+            self._unanswered_polls += 1
         if self._responsive:
             self._responsive = False
             _log.warning("worker silent", worker=self._instance.name, answer=answer)
             self._announcer.on_state_change()
-        if not self._lease.has_lapsed(self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        if not self._lease.has_lapsed(now_ms):
             return
+        if self._attempts:
+            self._log_lapse(now_ms)
         for attempt in list(self._attempts.values()):
             if attempt.phase is attempt_.Phase.RUNNING:
                 self._end(attempt, contract.End.LAPSED)
 
+    def _log_lapse(self, now_ms):
+        """Log what the conclusion rests on that the worker lease has expired."""
+        answer_age_ms, extension_age_ms = self._lease.ages_ms(now_ms)
+        _log.warning(
+            "worker lease expired",
+            worker=self._instance.name,
+            attempts=len(self._attempts),
+            answer_age_ms=int(answer_age_ms),
+            extension_age_ms=int(extension_age_ms),
+            unanswered_polls=self._unanswered_polls,
+            token=self._token,
+        )
+
     def _follows(self, instance):
         """Return whether an instance may have started after the current one."""
         if self._instance is None or not instance.started_ms:
@@ -592,7 +635,7 @@
             now_ms = self._clock.now_ms()
             for attempt in list(self._attempts.values()):
                 if now_ms > attempt.end_by_ms:
-                    self._halt(attempt)
+                    self._halt(attempt, "client timeout")
                 if (
                     self._instance is None
                     and now_ms > attempt.end_by_ms + _LATE_START_LIMIT_MS
--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -38,6 +38,17 @@
         self._clock_ms = None
         self._clock_read_ms = now_ms
 
+    def ages_ms(self, now_ms):
+        """Return the ages of the last answer and of the last extension.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+
+        Returns:
+          A pair of numbers.
+        """
+        return now_ms - self._answered_ms, now_ms - self._extended_ms
+
     def note_clock(self, clock_ms, now_ms):
         """Record the worker's clock from one of its answers.
 
