Repeat halts that were lost with their link

Callers: a client whose connection broke submitted its job again 1.3 s later, at another entry, and tasks of it ran twice at the same time, on two workers.

Cause: a Halt is sent once. When the link to the agent breaks in the same moment as the client's connection, it is lost. On the next link the agent lists the attempt, and the entry, which has answered the job, took no notice: the run went on to its natural end.

Why it works: the roster is the agent's whole list for this owner, and the entry halts all of it that no open job waits for. That includes tasks of a worker that counted as gone and that were sent elsewhere since. A halt of an attempt that is being stopped already is without effect. Ruled out: halting from the agent's side when a link breaks, as most broken links are replaced within 60 ms and their attempts are still wanted.

--- /dev/null
+++ b/features/direct_links.feature
@@ -0,0 +1,9 @@
+Feature: A link that is replaced leaves no attempt running that nobody waits for
+
+  Scenario: A halt that is lost with its link is repeated on the next link
+    Given a site of 2 entries and 3 workers of 16 cores
+    When entry 0 gets a job of 2 tasks of 4 cores for 2500 ms
+    And the links of entry 0 break while the client of job 0 leaves
+    And the client of job 0 submits it again to entry 1 after 1200 ms
+    And 1000 ms pass on the site
+    Then no worker recorded a violation
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -380,20 +380,35 @@
         """Process what happened to attempts while the link was down."""
         for ended in roster.ended:
             self._handle_ended(worker, ended)
-        attempts = set(roster.attempts)
+        listed = set(roster.attempts)
         held = {(task.name, task.run) for task in worker.assigned_tasks.values()}
         _log.info(
             "roster received",
             worker=worker.identity.name,
-            listed=len(attempts),
+            listed=len(listed),
             ended=len(roster.ended),
-            unknown=_texts(attempts - held),
-            missing=_texts(held - attempts),
+            unknown=_texts(listed - held),
+            missing=_texts(held - listed),
         )
         for task in list(worker.assigned_tasks.values()):
-            if (task.name, task.run) not in attempts:
+            if (task.name, task.run) not in listed:
                 self._release(worker, task)
                 self._requeue(task)
+        self._halt_unwanted(worker, listed)
+
+    def _halt_unwanted(self, worker, listed):
+        """Stop the listed attempts that no job waits for.
+
+        A Halt may have been lost with the previous link, and the task of a worker that
+        counted as gone may have been sent elsewhere.
+        """
+        wanted = {
+            (task.name, task.run)
+            for task in worker.assigned_tasks.values()
+            if not task.job.answer.done()
+        }
+        for name, run in listed - wanted:
+            worker.halt(name, run)
 
     def _release_current(self, worker, name, run):
         """Release an attempt and return its task; None if it is not the current one."""
