Keep the record of a dropped owner until its attempts have ended

Callers: tasks of one job ran twice at the same time, on two workers, after an entry and an agent had lost sight of each other for a little over 600 ms.

Cause: an agent that heard nothing from an owner for 600 ms halted its attempts and deleted its record at once. Agent and entry usually reach each other again within 60 ms. On the new link the agent knew the owner as a new one, and its roster was empty, although the worker had not ended the attempts: a stop may take 50 ms, and longer when a call is lost or late. By the contract an attempt that is not listed never starts, so the entry placed the tasks on other workers at once.

It passes now.

Why it works: the record stays until nothing may run for the owner, so that the next roster lists what is being stopped, and the entry waits for its end. Messages that a closed link had received before are ignored now; with the record gone they were before. The loop that drops owners stood in the agent and in the stand-in; both use owners.drop_silent.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -7,3 +7,14 @@
     And the client of job 0 submits it again to entry 1 after 1200 ms
     And 1000 ms pass on the site
     Then no worker recorded a violation
+
+  Scenario: An entry that is reached again places nothing elsewhere that is still being stopped
+    Given a site of 1 entries and 3 workers of 16 cores
+    When entry 0 gets a job of 6 tasks of 4 cores for 2500 ms
+    And 110 ms pass on the site
+    And worker 0 loses all stops for 300 ms
+    And the last message of entry 0 to agent 0 is 650 ms old
+    And 60 ms pass on the site
+    And agent 0 reaches entry 0 again
+    And 1500 ms pass on the site
+    Then no worker recorded a violation
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -12,6 +12,27 @@
     context.runner.run(_submit_again(context, index, entry, ms))
 
 
+@when("worker {index:d} loses all stops for {ms:d} ms")
+def step_lose_stops(context, index, ms):
+    context.runner.run(_lose_stops(context.site.nodes[index].worker, ms))
+
+
+@when("agent {index:d} reaches entry {entry:d} again")
+def step_reach_again(context, index, entry):
+    context.runner.run(_reach_again(context.site, index, entry))
+
+
+async def _reach_again(site, index, entry):
+    identity, dispatcher = site.entries[entry]
+    site.connect(site.nodes[index], identity, dispatcher)
+
+
+async def _lose_stops(worker, ms):
+    worker.lost_stop_share = 1.0
+    loop = asyncio.get_running_loop()
+    loop.call_later(ms / 1000, setattr, worker, "lost_stop_share", 0.0)
+
+
 async def _submit_again(context, index, entry, ms):
     await asyncio.sleep(ms / 1000)
     submission, _ = context.jobs[index]
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -269,17 +269,10 @@
                 entry.send_heartbeats()
                 entry.tick()
             for node in self.nodes:
-                self._drop_silent(node)
+                now_ms = self.clock.elapsed_ms()
+                owners.drop_silent(node.owners, node.runner, now_ms)
                 node.announcer.send_heartbeats()
 
-    def _drop_silent(self, node):
-        now_ms = self.clock.elapsed_ms()
-        for incarnation, owner in list(node.owners.items()):
-            if owner.is_silent(now_ms):
-                node.runner.drop_owner(owner)
-                owner.link.abort()
-                del node.owners[incarnation]
-
     def submission(self, count, cpu, run_ms, timeout_ms=5000, estimate=1.0):
         """Build a submission of equal tasks.
 
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -106,7 +106,8 @@
           body: A message of `contract`.
         """
         owner = self._owners.get(link.remote.incarnation)
-        if owner is None or owner.link is not link:
+        if owner is None or owner.link is not link or not link.is_open:
+            # A closed link may still have messages that were received before.
             return
         owner.note_received(self._clock.elapsed_ms())
         if isinstance(body, contract.Begin):
@@ -199,11 +200,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_TICK_MS))
             now_ms = self._clock.elapsed_ms()
-            for incarnation, owner in list(self._owners.items()):
-                if owner.is_silent(now_ms):
-                    self._runner.drop_owner(owner)
-                    owner.link.abort()
-                    del self._owners[incarnation]
+            owners.drop_silent(self._owners, self._runner, now_ms)
             self._announcer.send_heartbeats()
 
 
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -97,3 +97,22 @@
         if isinstance(body, contract.Ended):
             self._ended.append(body)
         self._link.send(body)
+
+
+def drop_silent(owners, runner, now_ms):
+    """Stop what runs for silent owners, and forget those for which nothing runs.
+
+    An owner whose attempts are still being stopped is kept: should it be reached again,
+    the roster has to list them, or it would take them as never started.
+
+    Args:
+      owners: A dict of Owners by incarnation; those that are forgotten are removed.
+      runner: A Runner.
+      now_ms: A number, the clock that also counts while the VM is suspended.
+    """
+    for incarnation, owner in list(owners.items()):
+        if not owner.is_silent(now_ms):
+            continue
+        owner.link.abort()
+        if runner.drop_owner(owner):
+            del owners[incarnation]
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -231,14 +231,19 @@
 
         Args:
           owner: An Owner.
+
+        Returns:
+          A boolean, whether nothing may still run for it.
         """
-        dropped = [
+        attempts = [
             attempt for attempt in self._attempts.values() if attempt.owner is owner
         ]
-        if dropped:
-            _log.warning("owner lost", owner=owner.identity.name, stopped=len(dropped))
-        for attempt in dropped:
+        running = [attempt for attempt in attempts if not attempt.halted]
+        if running:
+            _log.warning("owner lost", owner=owner.identity.name, stopped=len(running))
+        for attempt in running:
             self._halt(attempt, "owner lost")
+        return not attempts
 
     def on_report(self, report):
         """Handle a report of the worker.
