Hold the start of a task until its earlier attempt at the agent has ended

Callers: a job that was submitted again, to another entry, ran tasks twice at the same time although the second entry had first asked the very agent that still ran them. Agents and entries also exchanged a start and its refusal every 3 ms until the first run had ended.

Cause: the agent refused such a start as a duplicate and began to stop the earlier attempt. The entry took the refusal for one like any other and placed the task on another worker at once, where nothing tells it of the earlier run.

Why it works: the agent knows both attempts, so it keeps the later start and admits it once the worker has listed the end of the earlier one. A held start is dropped with its link or its owner, like any message in flight, and refused when its owner halts it. It does not depend on whether the worker takes new work at that moment. This is no remedy where the second entry asks another agent first; for that the first run has to have ended in time. Ruled out: an entry that waits after such a refusal, as it can't know for how long.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -1,4 +1,4 @@
-Feature: A link that is replaced leaves no attempt running that nobody waits for
+Feature: A task that is placed again, by any entry, does not run twice at the same time
 
   Scenario: A halt that is lost with its link is repeated on the next link
     Given a site of 2 entries and 3 workers of 16 cores
@@ -18,3 +18,15 @@
     And agent 0 reaches entry 0 again
     And 1500 ms pass on the site
     Then no worker recorded a violation
+
+  Scenario: A task that still runs for another entry waits at the agent until that has ended
+    Given a site of 2 entries and 2 workers of 16 cores
+    When worker 1 reports that it drains
+    And entry 0 gets a job of 2 tasks of 4 cores for 2500 ms
+    And 110 ms pass on the site
+    And worker 0 loses all stops for 300 ms
+    And the client of job 0 leaves and submits it to entry 1 after 50 ms
+    And worker 1 reports that it takes work again
+    And 1500 ms pass on the site
+    Then no worker recorded a violation
+    And job 1 is completed within 3000 ms
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -12,6 +12,25 @@
     context.runner.run(_submit_again(context, index, entry, ms))
 
 
+@when(
+    "the client of job {index:d} leaves and submits it to entry {entry:d} after "
+    "{ms:d} ms"
+)
+def step_leave_and_submit(context, index, entry, ms):
+    context.jobs[index][1].cancel()
+    context.runner.run(_submit_again(context, index, entry, ms))
+
+
+@when("worker {index:d} reports that it drains")
+def step_drain(context, index):
+    context.runner.run(_report_draining(context.site.nodes[index].worker, True))
+
+
+@when("worker {index:d} reports that it takes work again")
+def step_undrain(context, index):
+    context.runner.run(_report_draining(context.site.nodes[index].worker, False))
+
+
 @when("worker {index:d} loses all stops for {ms:d} ms")
 def step_lose_stops(context, index, ms):
     context.runner.run(_lose_stops(context.site.nodes[index].worker, ms))
@@ -27,6 +46,18 @@
     site.connect(site.nodes[index], identity, dispatcher)
 
 
+async def _report_draining(worker, draining):
+    worker.draining = draining
+    worker.report()
+    await asyncio.sleep(0.05)
+
+
+async def _timed(context, dispatcher, submission):
+    started_ms = context.site.clock.now_ms()
+    outcome = await dispatcher.submit(submission, direct_site.ROUTE)
+    return outcome, context.site.clock.now_ms() - started_ms
+
+
 async def _lose_stops(worker, ms):
     worker.lost_stop_share = 1.0
     loop = asyncio.get_running_loop()
@@ -37,6 +68,6 @@
     await asyncio.sleep(ms / 1000)
     submission, _ = context.jobs[index]
     _, dispatcher = context.site.entries[entry]
-    answer = asyncio.create_task(dispatcher.submit(submission, direct_site.ROUTE))
+    answer = asyncio.create_task(_timed(context, dispatcher, submission))
     context.jobs.append((submission, answer))
     await asyncio.sleep(0)
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 
 from jujubeglade.core import clock, log, metrics
@@ -27,6 +28,7 @@
     capacity,
     contract,
     foreign_attempts,
+    held_begins,
     report_cache,
     worker,
     worker_lease,
@@ -70,6 +72,7 @@
         "_clock",
         "_cursor",
         "_foreign",
+        "_held",
         "_last_instance",
         "_lease",
         "_lease_ms",
@@ -123,6 +126,7 @@
         self._foreign = foreign_attempts.ForeignAttempts(
             self._background, self._stop_foreign
         )
+        self._held = held_begins.HeldBegins()
         # Until when attempts may start although the instance has not reported itself,
         # as its report comes from the store; infinite once it has.
         self._unconfirmed_until_ms = math.inf
@@ -176,12 +180,16 @@
     def roster(self, owner):
         """List the attempts of an owner and how its earlier ones ended.
 
+        The list is the first message on a new link, so Begins of the previous link that
+        are still held count as lost with it.
+
         Args:
           owner: An Owner.
 
         Returns:
           A Roster.
         """
+        self._held.drop_owner(owner)
         attempts = [
             attempt.key for attempt in self._attempts.values() if attempt.owner is owner
         ]
@@ -195,6 +203,13 @@
           begin: A Begin.
         """
         owner.last_begin = begin.number
+        self._admit(owner, begin)
+
+    def _admit(self, owner, begin):
+        """Start an attempt, refuse it, or hold it until an earlier one has ended."""
+        if begin.task in self._attempts:
+            self._hold(owner, begin)
+            return
         refusal = self._refusal() or self._mismatch(begin)
         if refusal is None and not self._capacity.reserve(begin.task, begin.needs):
             refusal = contract.Refusal.ROOM
@@ -225,6 +240,9 @@
         attempt = self._attempts.get(halt.task)
         if attempt is not None and attempt.run == halt.run and attempt.owner is owner:
             self._halt(attempt, "owner asked")
+        held = self._held.pop_if(owner, halt.task, halt.run)
+        if held is not None:
+            self._refuse(owner, held.begin, contract.Refusal.DUPLICATE)
 
     def drop_owner(self, owner):
         """Stop everything that runs for an owner that is lost.
@@ -235,6 +253,7 @@
         Returns:
           A boolean, whether nothing may still run for it.
         """
+        self._held.drop_owner(owner)
         attempts = [
             attempt for attempt in self._attempts.values() if attempt.owner is owner
         ]
@@ -317,14 +336,28 @@
             return contract.Refusal.OTHER_SERVICE
         if begin.label and begin.label not in self._report.labels:
             return contract.Refusal.OTHER_SERVICE
-        attempt = self._attempts.get(begin.task)
-        if attempt is not None:
-            # The client has submitted the job again to another entry; the attempt of
-            # the previous owner must end first.
-            self._halt(attempt, "submitted again")
-            return contract.Refusal.DUPLICATE
         return None
 
+    def _hold(self, owner, begin):
+        """Stop the earlier attempt of a task, and hold its Begin until that has ended.
+
+        The client has submitted the job again, to another entry.
+        """
+        self._halt(self._attempts[begin.task], "submitted again")
+        until_ms = self._clock.now_ms() + begin.left_ms
+        held = held_begins.HeldBegin(owner, begin, until_ms)
+        replaced = self._held.put(held)
+        if replaced is not None:
+            self._refuse(replaced.owner, replaced.begin, contract.Refusal.DUPLICATE)
+
+    def _admit_held(self, task):
+        """Start the held attempt of a task whose earlier attempt has ended."""
+        held = self._held.pop(task)
+        if held is None:
+            return
+        left_ms = held.left_ms(self._clock.now_ms())
+        self._admit(held.owner, dataclasses.replace(held.begin, left_ms=left_ms))
+
     def _refuse(self, owner, begin, refusal):
         self._metrics.count(metrics.Counter.REJECTED, str(refusal))
         _log.info(
@@ -413,6 +446,7 @@
         del self._attempts[attempt.task]
         self._capacity.release(attempt.task)
         self._announcer.on_room_change()
+        self._admit_held(attempt.task)
 
     def _halt(self, attempt, cause):
         if attempt.halted:
