--- a/features/platform.feature
+++ b/features/platform.feature
@@ -119,6 +119,22 @@
     Then entry 0 answers GET /parts/ with 200 within 3000 ms
     And entry 1 answers GET /parts/ with 200 within 3000 ms
 
+  Scenario: A run is not cut short when open connections to its worker go silent
+    Given a platform site of 1 entries and 1 workers
+    When a client submits 16 tasks of 1 cores for 50 ms to entry 0
+    And a client submits 1 tasks of 1 cores for 2000 ms to entry 0 and waits 200 ms
+    And every open connection to worker 0 goes silent
+    Then the client gets 200
+    And the task has run once
+
+  Scenario: A task is stopped before its client submits it again though open connections to the worker are silent
+    Given a platform site of 1 entries and 1 workers
+    When a client submits 16 tasks of 1 cores for 50 ms to entry 0
+    And a client submits 1 tasks of 1 cores for 5000 ms to entry 0 and waits 200 ms
+    And every open connection to worker 0 goes silent
+    And the client leaves
+    Then no worker runs a task 1250 ms after the client has left
+
   Scenario Outline: An entry is registered and reached though the store's answers to its writes are lost
     Given a platform site of 2 entries and 2 workers
     When the store <fault>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -118,6 +118,48 @@
     context.site.store.silence_open()
 
 
+@when(
+    "a client submits {count:d} tasks of {cores:d} cores for {ms:d} ms to entry {n:d} "
+    "and waits {waited:d} ms"
+)
+def step_submit_and_wait(context, count, cores, ms, n, waited):
+    context.ids += 1
+    context.first_start = len(context.site.witness.log)
+    path = f"{platform_site.PREFIX}{context.ids:016x}"
+    body = platform_site.job(count, cores, ms)
+    context.request = _start(context, context.site.request(n, "POST", path, body))
+    _wait(context, waited / 1000)
+    assert any(worker.inner.running for worker in context.site.workers)
+
+
+@when("every open connection to worker {index:d} goes silent")
+def step_silence_worker(context, index):
+    context.site.workers[index].silence_open()
+
+
+@when("the client leaves")
+def step_leave(context):
+    context.request.cancel()
+
+
+@then("the client gets 200")
+def step_answered(context):
+    reply = context.runner.run(_result(context.request))
+    assert reply.status == 200, reply
+
+
+@then("the task has run once")
+def step_one_start(context):
+    starts = context.site.witness.log[context.first_start :]
+    assert len(starts) == 1, starts
+
+
+@then("no worker runs a task {ms:d} ms after the client has left")
+def step_no_runs(context, ms):
+    _wait(context, ms / 1000)
+    assert not any(worker.inner.running for worker in context.site.workers)
+
+
 @when("the store applies every 2nd change without an answer")
 def step_lose_answers(context):
     context.site.store.lose_every = 2
@@ -407,3 +449,16 @@
         for path in _ROOT.glob("platform/src/**/*.py")
     )
     assert 0 < lines < count, lines
+
+
+def _start(context, coroutine):
+    """Start a coroutine on the site's event loop, and return its task."""
+
+    async def start():
+        return asyncio.create_task(coroutine)
+
+    return context.runner.run(start())
+
+
+async def _result(task):
+    return await task
--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import random
+import weakref
 
 import aiohttp
 from aiohttp import web
@@ -15,6 +16,8 @@
 from jujubeglade.fakes import direct_worker
 
 _REPORT_INTERVAL_MS = 300
+#: Longer than any caller waits for an answer.
+_NO_ANSWER_S = 30
 _CONFLICT_REASONS = {
     worker.Answer.FENCED: "fence",
     worker.Answer.OUTDATED_RUN: "old",
@@ -41,6 +44,8 @@
         #: Whether it sends periodic reports; calls are answered either way.
         self.is_reporting = True
         self._control = control
+        self._open = weakref.WeakSet()
+        self._silent = weakref.WeakSet()
         self._runner = None
         self._report_task = None
         self._session = None
@@ -50,7 +55,7 @@
 
     async def open(self, port):
         """Listen on loopback and start to send reports."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._apply_silence])
         app.router.add_post("/jujubeglade/run-start", self._start)
         app.router.add_post("/jujubeglade/run-stop", self._stop)
         app.router.add_post("/jujubeglade/hold", self._poll)
@@ -110,6 +115,17 @@
             "born": self.inner.instance.started_ms,
         }
 
+    def silence_open(self):
+        """Receive nothing more on the connections that are open now."""
+        self._silent.update(self._open)
+
+    @web.middleware
+    async def _apply_silence(self, request, handler):
+        self._open.add(request.transport)
+        if request.transport in self._silent:
+            await asyncio.sleep(_NO_ANSWER_S)
+        return await handler(request)
+
     async def _report_forever(self):
         sequence = 0
         while True:
