Let the simulated worker execute stops and polls late, on a slow clock

Its starts could be late, its stops and polls only lost, and a violation told neither when the runs began nor when they ended. Now each kind of call has a share that is executed late; the lease of a late call may count from its execution; the time of a stop and the rate of the clock can be set. A poll without an answer takes its wait and the call's timeout, as in platform/_worker.py. A crash no longer leaves the timer of the former lease behind, which ended runs of the next incarnation early.

--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import contextvars
+import dataclasses
 
 from jujubeglade.core import clock
 from jujubeglade.direct import contract, job, worker
@@ -25,6 +27,10 @@
         #: The names of the workers that run a task, by task.
         self.running = {}
         self.violations = []
+        # The start of each current run, by worker and task.
+        self._started_ms = {}
+        # The indexes of the violations that each task is part of.
+        self._violation_indexes = {}
         #: The worker's name for each start, in order.
         self.log = []
         #: The tasks that were started, and those that an attempt has completed.
@@ -41,13 +47,19 @@
         self.log.append(name)
         self.started.add(task)
         workers = self.running.setdefault(task, [])
+        self._started_ms[name, task] = _now_ms()
         if workers:
-            self.violations.append(f"{task} runs on {workers[0]} and on {name}")
+            self._record_second_run(workers[0], name, task)
         workers.append(name)
 
     def end(self, name, task, how=""):
         """Record that a worker ends an attempt of a task."""
         self.running[task].remove(name)
+        del self._started_ms[name, task]
+        for index in self._violation_indexes.get(task, ()):
+            self.violations[index] += f"; on {name} until {_now_ms():.0f} ms ({how})"
+        if not self.running[task]:
+            self._violation_indexes.pop(task, None)
         if how == contract.End.DONE:
             self.done.add(task)
 
@@ -55,6 +67,15 @@
         """Record that a worker runs more than its capacity."""
         self.violations.append(f"{name} runs {used.cpu} of {total.cpu}")
 
+    def _record_second_run(self, first, second, task):
+        first_ms = self._started_ms[first, task]
+        second_ms = self._started_ms[second, task]
+        self._violation_indexes.setdefault(task, []).append(len(self.violations))
+        self.violations.append(
+            f"{task} runs on {first} and on {second}: on {first} from {first_ms:.0f} ms"
+            f", on {second} from {second_ms:.0f} ms"
+        )
+
 
 class _Attempt:
     """One attempt of a task that the worker runs."""
@@ -92,10 +113,20 @@
         self.late_start_share = 0.0
         #: The share of stops that get no answer and are not executed.
         self.lost_stop_share = 0.0
+        #: The share of stops that get no answer and are executed late.
+        self.late_stop_share = 0.0
         #: The share of polls that get no answer and are not executed.
         self.lost_poll_share = 0.0
-        #: The shortest and the longest delay of such a late start.
+        #: The share of polls that get no answer and are executed late.
+        self.late_poll_share = 0.0
+        #: Whether the lease of a late call counts from its execution.
+        self.late_lease_shifts = False
+        #: The shortest and the longest delay of late calls.
         self.late_ms = (310, 4000)
+        #: How long an attempt still runs after its stop.
+        self.stop_ms = _STOP_MS
+        #: The rate of the worker's clock.
+        self.clock_rate = 1.0
         #: Whether it refuses calls to an earlier incarnation of the same name.
         self.checks_incarnation = True
         #: Whether no call gets an answer.
@@ -105,6 +136,8 @@
         self.hold_ms = 1000
         self._witness = witness
         self._rng = rng
+        # Its timers run in this context, not in that of the process that calls it.
+        self._context = contextvars.copy_context()
         self._listener = None
         self._started_ms = 1
         self._sequence = 0
@@ -166,6 +199,8 @@
         for attempt in list(self._attempts.values()):
             attempt.timer.cancel()
             self._witness.end(self.name, attempt.task)
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
         self._reset()
         self._started_ms += 1
         self._sequence = 0
@@ -176,9 +211,9 @@
         """Start a task; see `WorkerClient.start`."""
         if self._rng.random() < self.late_start_share:
             late_ms = self._rng.uniform(*self.late_ms)
-            asyncio.get_running_loop().call_later(
-                clock.seconds(late_ms), self._start, target, start
-            )
+            until_ms = self._late_lease(start.lease_until_ms, late_ms)
+            late = dataclasses.replace(start, lease_until_ms=until_ms)
+            self._call_later(late_ms, self._start, target, late)
             return await self._time_out(worker.Reply)
         if self.silent:
             return await self._time_out(worker.Reply)
@@ -188,12 +223,22 @@
         """Stop an attempt; see `WorkerClient.stop`."""
         if self.silent or self._rng.random() < self.lost_stop_share:
             return await self._time_out(worker.Reply, _STOP_ANSWER_TIMEOUT_MS)
+        if self.late_stop_share and self._rng.random() < self.late_stop_share:
+            late_ms = self._rng.uniform(*self.late_ms)
+            self._call_later(late_ms, self._stop, target, task, run)
+            return await self._time_out(worker.Reply, _STOP_ANSWER_TIMEOUT_MS)
         return worker.Reply(self._stop(target, task, run), self._now_ms())
 
     async def poll(self, target, cursor, lease_until_ms, wait_ms):
         """Renew the worker lease; see `WorkerClient.poll`."""
+        poll_timeout_ms = wait_ms + _ANSWER_TIMEOUT_MS
         if self.silent or self._rng.random() < self.lost_poll_share:
-            return await self._time_out(worker.PollReply)
+            return await self._time_out(worker.PollReply, poll_timeout_ms)
+        if self.late_poll_share and self._rng.random() < self.late_poll_share:
+            late_ms = self._rng.uniform(*self.late_ms)
+            until_ms = self._late_lease(lease_until_ms, late_ms)
+            self._call_later(late_ms, self._extend_late, target, until_ms)
+            return await self._time_out(worker.PollReply, poll_timeout_ms)
         answer = self._admit(target)
         if answer is not worker.Answer.OK:
             return worker.PollReply(answer, self._now_ms())
@@ -207,7 +252,7 @@
             except TimeoutError:
                 pass
         if self.silent:
-            return await self._time_out(worker.PollReply)
+            return await self._time_out(worker.PollReply, poll_timeout_ms)
         running = tuple(
             (attempt.task, attempt.number) for attempt in self._attempts.values()
         )
@@ -232,8 +277,7 @@
         fields = start.spec.split()
         needs = job.Resources(int(fields[0]), 0, 0)
         run_ms = float(fields[1]) * self.slowdown
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(clock.seconds(run_ms), self._finish, start.task)
+        timer = self._call_later(run_ms, self._finish, start.task)
         self._attempts[start.task] = _Attempt(start.task, start.run, needs, timer)
         self._witness.begin(self.name, start.task)
         used = job.NOTHING
@@ -252,8 +296,8 @@
             self._ended_runs[task] = max(run, self._ended_runs.get(task, 0))
         elif attempt.number <= run:
             attempt.timer.cancel()
-            attempt.timer = asyncio.get_running_loop().call_later(
-                clock.seconds(_STOP_MS), self._end, task, contract.End.STOPPED
+            attempt.timer = self._call_later(
+                self.stop_ms, self._end, task, contract.End.STOPPED
             )
         return worker.Answer.OK
 
@@ -292,17 +336,39 @@
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
         remaining_ms = self._lease_until_ms - self._now_ms()
-        self._expiry_timer = asyncio.get_running_loop().call_later(
-            clock.seconds(remaining_ms), self._expire_lease
+        self._expiry_timer = self._call_later(
+            remaining_ms / self.clock_rate, self._expire_lease
         )
 
+    def _extend_late(self, target, until_ms):
+        """Execute a poll whose caller no longer waits for the answer."""
+        if self._admit(target) is worker.Answer.OK:
+            self._extend_lease(until_ms)
+
+    def _late_lease(self, until_ms, late_ms):
+        """Return the end of the lease that a call sets when it is executed late."""
+        if until_ms is None or not self.late_lease_shifts:
+            return until_ms
+        return until_ms + late_ms * self.clock_rate
+
     def _expire_lease(self):
         for task in list(self._attempts):
             self._end(task, contract.End.LAPSED)
 
     def _now_ms(self):
-        return asyncio.get_running_loop().time() * clock.MILLISECONDS_PER_SECOND
+        """Return the worker's own clock."""
+        return _now_ms() * self.clock_rate
+
+    def _call_later(self, delay_ms, function, *arguments):
+        loop = asyncio.get_running_loop()
+        delay_s = clock.seconds(delay_ms)
+        return loop.call_later(delay_s, function, *arguments, context=self._context)
 
     async def _time_out(self, kind, wait_ms=_ANSWER_TIMEOUT_MS):
         await asyncio.sleep(clock.seconds(wait_ms))
         return kind(worker.Answer.UNKNOWN)
+
+
+def _now_ms():
+    """Return the time of the event loop."""
+    return asyncio.get_running_loop().time() * clock.MILLISECONDS_PER_SECOND
