--- /dev/null
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -0,0 +1,248 @@
+"""The product's entry and agent as processes in virtual time, without ports or a store.
+
+They run the loops of `entry.Entry` and `agent.Agent`: heartbeats, silence timeouts,
+dialing, and what a process does after a suspension.
+"""
+
+import types
+
+import result
+
+from jujubeglade.direct import agent, contract, entry, platforms, worker
+from jujubeglade.fakes import direct_worker
+
+_HOLD_MS = 1000
+_PORT = 1
+_PLATFORM = "simulated"
+
+
+@platforms.adapter(_PLATFORM)
+class _SimulatedPlatform(platforms.Platform):
+    """The platform of simulated workers."""
+
+    __slots__ = ()
+
+    def read_operators(self, entries, revision):
+        """Return None; the site offers the operators' state itself."""
+
+    def new_worker_client(self, settings):
+        """Return the worker in the settings."""
+        return settings.worker
+
+    def new_request_servers(self, settings, entry):
+        """Return None; clients call the entry itself."""
+
+
+class _Registration:
+    """The registration of an entry, which the site does itself."""
+
+    __slots__ = ()
+
+    def check(self, addresses):
+        """Do nothing."""
+
+
+class SimulatedEntry(entry.Entry):
+    """An entry without ports or a store."""
+
+    def __init__(self, process, clock, name, zone):
+        """Create the entry of a process.
+
+        Args:
+          process: A Process.
+          clock: A Clock.
+          name: A string.
+          zone: A string.
+        """
+        super().__init__(_settings(name, zone, None), clock)
+        self.process = process
+        self._registration = _Registration()
+
+    @property
+    def identity(self):
+        """Return the Identity."""
+        return self._identity
+
+    def offer(self, view):
+        """Take a view of the store.
+
+        Args:
+          view: An OperatorState or a Members.
+        """
+        self._cluster_state.offer(view, "store")
+
+    async def start(self):
+        """Start the tasks."""
+        self._cluster_state.subscribe(self._on_cluster_state)
+        self._spawn(self._tick())
+
+
+class SimulatedAgent(agent.Agent):
+    """An agent without ports or a store."""
+
+    def __init__(self, process, clock, worker, zone, network, find_entry):
+        """Create the agent of a process.
+
+        Args:
+          process: A Process.
+          clock: A Clock.
+          worker: A RemoteWorker; the agent takes its name.
+          zone: A string.
+          network: A Network.
+          find_entry: A function from an address to the SimulatedEntry that listens
+            there, or None.
+        """
+        super().__init__(_settings(worker.name, zone, worker), clock)
+        self.process = process
+        self._network = network
+        self._find_entry = find_entry
+
+    @property
+    def identity(self):
+        """Return the Identity."""
+        return self._identity
+
+    @property
+    def runner(self):
+        """Return the Runner."""
+        return self._runner
+
+    def offer(self, view):
+        """Take a view of the store.
+
+        Args:
+          view: An OperatorState or a Members.
+        """
+        self._cluster_state.offer(view, "store")
+
+    async def start(self):
+        """Start the tasks."""
+        self._cluster_state.subscribe(self._on_cluster_state)
+        await self._worker_client.open(_Reports(self.process, self._runner))
+        self._spawn(self._runner.run())
+        self._spawn(self._tick())
+        self._dial_entries()
+
+    async def dial(self, address, connect_ms):
+        """Open a link to an entry; see `Agent.dial`."""
+        if self.process.is_killed:
+            return result.Err("killed")
+        return await self._network.dial(self, self._find_entry(address), connect_ms)
+
+
+class _Reports:
+    """Passes the reports of a worker to the process of its agent."""
+
+    __slots__ = ("_process", "_runner")
+
+    def __init__(self, process, runner):
+        self._process = process
+        self._runner = runner
+
+    def on_report(self, report):
+        """Pass a report on."""
+        self._process.receive(self._runner.on_report, report)
+
+    def on_left(self, name):
+        """Pass a departure on."""
+        self._process.receive(self._runner.on_left, name)
+
+
+class RemoteWorker(worker.WorkerClient):
+    """The calls of an agent to a simulated worker that runs on while it is frozen."""
+
+    __slots__ = ("_process", "worker")
+
+    def __init__(self, process, simulated):
+        """Create the client.
+
+        Args:
+          process: A Process, that of the worker.
+          simulated: A SimulatedWorker.
+        """
+        self._process = process
+        self.worker = simulated
+
+    @property
+    def name(self):
+        """Return the name of the worker."""
+        return self.worker.name
+
+    async def open(self, listener):
+        """Start to receive the worker's reports; see `WorkerClient.open`."""
+        self.worker.attach(listener)
+
+    async def close(self):
+        """Do nothing; see `WorkerClient.close`."""
+
+    async def start(self, target, start):
+        """Start a task; see `WorkerClient.start`."""
+        return await self._call(self.worker.start(target, start))
+
+    async def stop(self, target, task, run):
+        """Stop an attempt; see `WorkerClient.stop`."""
+        return await self._call(self.worker.stop(target, task, run))
+
+    async def poll(self, target, cursor, lease_until_ms, wait_ms):
+        """Extend the lease and list the attempts; see `WorkerClient.poll`."""
+        call = self.worker.poll(target, cursor, lease_until_ms, wait_ms)
+        return await self._call(call)
+
+    async def _call(self, call):
+        return await self._process.spawn(call)
+
+
+def new_worker(process, name, total, witness, rng):
+    """Make a simulated worker.
+
+    Args:
+      process: A Process, in which its timers run.
+      name: A string.
+      total: A Resources.
+      witness: A Witness.
+      rng: A random.Random.
+
+    Returns:
+      A SimulatedWorker.
+    """
+    simulated = process.run(direct_worker.SimulatedWorker, name, total, witness, rng)
+    simulated.hold_ms = _HOLD_MS
+    return simulated
+
+
+def address_of(name):
+    """Return the address at which an entry listens.
+
+    Args:
+      name: A string.
+
+    Returns:
+      A string, HOST:PORT.
+    """
+    return f"{name}:{_PORT}"
+
+
+def members(names, revision):
+    """Make the view of the entries that are registered.
+
+    Args:
+      names: A list of strings.
+      revision: An integer.
+
+    Returns:
+      A Members.
+    """
+    return contract.Members(revision, tuple(address_of(name) for name in names))
+
+
+def _settings(name, zone, worker):
+    return types.SimpleNamespace(
+        name=name,
+        zone=zone,
+        cluster_key="",
+        platform=_PLATFORM,
+        hold_ms=_HOLD_MS,
+        seeds=(),
+        stream=types.SimpleNamespace(port=_PORT),
+        worker=worker,
+    )
