Raise the fencing token after a poll without an answer

Callers: a task of a worker that answered late ran on while it was started anew elsewhere.

Cause: after 1.1 s without an answer the agent concludes that the worker lease has expired, counted from the last poll it sent. A poll without an answer may be executed seconds later, and its time may count from then. Only unanswered starts raised the fencing token, so late polls from before went on extending the lease.

Why it works: each answered poll has a token above those of all unanswered calls before it, which the worker then ignores. What is left are the calls since the last answer. These matter only if they are executed before the lease has expired; with a delay of 2 s or more they are not. For shorter delays it is no proof.

A start that the fence refuses counts as lost now, as it says nothing about the worker's health: more tokens are raised than before, with starts under way.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -49,3 +49,21 @@
       | 4    |
       | 5    |
       | 6    |
+
+  Scenario Outline: Polls that a worker executes late do not keep runs alive that count as lapsed
+    Given a site of 1 entries and 2 workers of 16 cores with seed <seed>
+    And worker 0 executes 50 % of the polls late, which extends its lease then
+    When 8000 ms pass on the site
+    And worker 1 reports that it drains
+    And entry 0 gets a job of 2 tasks of 4 cores for 9000 ms, whose client waits 20000 ms
+    And 110 ms pass on the site
+    And worker 1 reports that it takes work again
+    And worker 0 executes all polls late from now on
+    And 6000 ms pass on the site
+    Then no worker recorded a violation
+
+    Examples:
+      | seed |
+      | 2    |
+      | 10   |
+      | 16   |
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -6,6 +6,9 @@
 
 from jujubeglade.fakes import direct_site
 
+#: The shortest and the longest delay of late calls.
+_LATE_MS = (2000, 12_000)
+
 
 @when("the client of job {index:d} submits it again to entry {entry:d} after {ms:d} ms")
 def step_submit_again(context, index, entry, ms):
@@ -37,6 +40,31 @@
         node.worker.lost_stop_share = share / 100
 
 
+@given(
+    "worker {index:d} executes {share:d} % of the polls late, which extends its lease "
+    "then"
+)
+def step_late_polls(context, index, share):
+    worker = context.site.nodes[index].worker
+    worker.late_poll_share = share / 100
+    worker.late_lease_shifts = True
+    worker.late_ms = _LATE_MS
+
+
+@when("worker {index:d} executes all polls late from now on")
+def step_all_late(context, index):
+    context.site.nodes[index].worker.late_poll_share = 1.0
+
+
+@when(
+    "entry {entry:d} gets a job of {count:d} tasks of {cores:d} cores for {ms:d} ms, "
+    "whose client waits {timeout_ms:d} ms"
+)
+def step_patient_job(context, entry, count, cores, ms, timeout_ms):
+    submission = context.site.submission(count, cores * 1000, ms, timeout_ms)
+    context.runner.run(_submit(context, submission, entry))
+
+
 @when("entry {entry:d} is lost")
 def step_lose_entry(context, entry):
     context.runner.run(_lose_entry(context.site, entry))
@@ -93,6 +121,10 @@
 async def _submit_again(context, index, entry, ms):
     await asyncio.sleep(ms / 1000)
     submission, _ = context.jobs[index]
+    await _submit(context, submission, entry)
+
+
+async def _submit(context, submission, entry):
     dispatcher = _dispatcher(context.site, entry)
     answer = asyncio.create_task(_timed(context, dispatcher, submission))
     context.jobs.append((submission, answer))
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -54,6 +54,7 @@
 _TOKEN_INCREMENT = 1_000_000
 
 _REFUSALS = {
+    worker.Answer.FENCED: contract.Refusal.LOST,
     worker.Answer.NO_ROOM: contract.Refusal.ROOM,
     worker.Answer.OUTDATED_RUN: contract.Refusal.OUTDATED_RUN,
     worker.Answer.OTHER_INSTANCE: contract.Refusal.NO_WORKER,
@@ -510,6 +511,10 @@
             self._announcer.on_state_change()
             return
         self._lease.note_clock(reply.clock_ms, self._clock.now_ms())
+        if reply.answer is worker.Answer.UNKNOWN:
+            # Carried out late, it would extend the lease again; the fence prevents that
+            # from the next answer on.
+            self._raise_token(target.token + 1)
         if reply.answer is worker.Answer.OK:
             self._apply(reply, sent_ms, target.token)
             if not self._clean:
