End the worker lease before a client's next submission can start

Callers: a client whose entry was lost submitted its job again, and tasks of it ran twice when the stops of the first runs were lost, or when the agent beside them was lost as well.

Cause: nothing bounded the first run. An agent that had lost the owner went on extending the worker lease to 1,000 ms from each poll while it tried to stop the run, and when it died or was cut off from the worker nobody was left to stop anything. The sum is 600 ms of silence, plus 50 ms to notice it, plus up to 1,020 ms of lease: 1,670 ms against 1,300 ms until the next submission.

Evidence: without the new bound, 'The attempts of a lost entry end before its clients submit again though their agent is lost too' fails at 600 ms: '...0.0 runs on worker-0 and on worker-1: on worker-0 from 1102 ms, on worker-1 from 2512 ms; on worker-0 until 2800 ms (lapsed)'. So does the new situation in features/direct.feature with every stop lost.

Why it works: a call extends the lease only to 50 ms before any client of an owner with attempts there could have its job running elsewhere. What counts is when the owner was last known to be alive: an owner echoes the time of the agent's last Room, so a message that waited in a buffer proves nothing. For a halted attempt that time stands still. A start is refused when the lease in force outlives that bound, so a Begin that is read late starts nothing. The owner's next attempt follows the refusal with a fresh echo. An owner whose echoes have stopped counts as lost, so that its runs are stopped one by one before the lease ends all. Stops are also sent while a start is still to be answered.

Ruled out: a shorter lease for all (each lost poll would end every run of the worker), and acting sooner on silence (a slow VM is silent for 300 ms).

Tests: two rules now prevent the same violation, so the entries of features/direct_mutants.py for silent owners and for foreign attempts leave out both; the lease bound, repeated halts and kept owners have entries of their own. direct_logs.feature loses stops for 250 ms instead of 500, as the lease ends before.

The messages Room, Beat and Begin have a new field, so entries and agents of before and after can't talk to each other: they have to be replaced together.

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -91,6 +91,9 @@
       | a start in flight may reach the worker's next incarnation                     |
       | an answer to a start does not identify the worker's incarnation               |
       | the lease is not renewed for attempts that the agent has not started          |
+      | the lease ends before a client's next submission can start                    |
+      | a halt that was lost with its link is repeated                                |
+      | a dropped owner is kept until its attempts have ended                         |
 
   Scenario: Most jobs meet their objective while one worker of four is ten times slower
     Given a site of 2 entries and 4 workers of 16 cores
--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -50,6 +50,24 @@
       | 5    |
       | 6    |
 
+  Scenario Outline: The attempts of a lost entry end before its clients submit again though their agent is lost too
+    Given a site of 2 entries and 4 workers of 16 cores
+    When entry 0 gets a job of 12 tasks of 4 cores for 2500 ms
+    And 110 ms pass on the site
+    And entry 0 is lost
+    And <ms> ms pass on the site
+    And agent 0 is lost
+    And <rest> ms pass on the site
+    And the client of job 0 submits it again to entry 1 after 0 ms
+    And 1000 ms pass on the site
+    Then no worker recorded a violation
+
+    Examples:
+      | ms  | rest |
+      | 200 | 1100 |
+      | 400 | 900  |
+      | 600 | 700  |
+
   Scenario Outline: Polls that a worker executes late do not keep runs alive that count as lapsed
     Given a site of 1 entries and 2 workers of 16 cores with seed <seed>
     And worker 0 executes 50 % of the polls late, which extends its lease then
--- a/features/direct_logs.feature
+++ b/features/direct_logs.feature
@@ -4,10 +4,10 @@
     Given a site of 2 entries and 2 workers of 16 cores
     And the log is recorded
     When entry 0 gets a job of 2 tasks of 4 cores for 2500 ms
-    And workers lose stops for 500 ms while <event>
+    And workers lose stops for 250 ms while <event>
     Then the log has "attempt halted" with cause "<cause>"
     And the log has "attempt ended" with how "stopped"
-    And its halted_for_ms is at least 400 and its stop_calls at least 4
+    And its halted_for_ms is at least 200 and its stop_calls at least 4
 
     Examples:
       | event                       | cause           |
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -1,6 +1,8 @@
 """Rules of direct jobs that can be disabled, to show that the tests detect it."""
 
-from jujubeglade.direct import attempt, contract, fleet, owners, runner
+import math
+
+from jujubeglade.direct import attempt, contract, dispatcher, fleet, owners, runner
 
 _mutants = {}
 
@@ -22,10 +24,21 @@
     Returns:
       A function without arguments that enables the rule again.
     """
-    target, name, replacement = _mutants[rule]()
-    original = getattr(target, name)
-    setattr(target, name, replacement)
-    return lambda: setattr(target, name, original)
+    replacements = _mutants[rule]()
+    originals = [
+        (target, name, getattr(target, name)) for target, name, _ in replacements
+    ]
+    _set_all(replacements)
+    return lambda: _set_all(originals)
+
+
+def _set_all(attributes):
+    for target, name, value in attributes:
+        setattr(target, name, value)
+
+
+def _unlimited_lease(self, attempts):
+    return math.inf
 
 
 @_mutant("a lost agent's tasks are repeated only when they can't run any more")
@@ -33,7 +46,7 @@
     def gone(self, now_ms):
         return [worker for worker in self if worker.lost_ms is not None]
 
-    return fleet.Fleet, "gone", gone
+    return ((fleet.Fleet, "gone", gone),)
 
 
 @_mutant(
@@ -48,7 +61,7 @@
         self._responsive = True
         self._lease.note_clock(0, self._clock.now_ms())
 
-    return runner.Runner, "_adopt_instance", adopt_instance
+    return ((runner.Runner, "_adopt_instance", adopt_instance),)
 
 
 @_mutant("the lease is not renewed for attempts that the agent has not started")
@@ -59,7 +72,10 @@
         original(self, reply, sent_ms, token)
         self._clean = True
 
-    return runner.Runner, "_apply", apply
+    return (
+        (runner.Runner, "_apply", apply),
+        (runner.Runner, "_lease_limit_ms", _unlimited_lease),
+    )
 
 
 @_mutant("a start without an answer is not treated as refused")
@@ -71,7 +87,7 @@
         if an_attempt.phase is attempt.Phase.UNRESOLVED:
             self._drop_unstarted(an_attempt, contract.Refusal.LOST)
 
-    return runner.Runner, "_handle_reply", handle_reply
+    return ((runner.Runner, "_handle_reply", handle_reply),)
 
 
 @_mutant("a stopping attempt keeps its capacity until the worker lists its end")
@@ -83,7 +99,7 @@
         self._capacity.release(an_attempt.task)
         self._announcer.on_room_change()
 
-    return runner.Runner, "_halt", halt
+    return ((runner.Runner, "_halt", halt),)
 
 
 @_mutant("a start in flight may reach the worker's next incarnation")
@@ -95,7 +111,7 @@
         for an_attempt in list(self._attempts.values()):
             self._end(an_attempt, contract.End.LOST)
 
-    return runner.Runner, "_lose_instance", lose_instance
+    return ((runner.Runner, "_lose_instance", lose_instance),)
 
 
 @_mutant("an answer to a start does not identify the worker's incarnation")
@@ -106,9 +122,36 @@
         original(self, now_ms)
         self.is_listed = True
 
-    return attempt.Attempt, "confirm", confirm
+    return ((attempt.Attempt, "confirm", confirm),)
 
 
 @_mutant("silent owners are dropped")
 def _keep_silent_owners():
-    return owners.Owner, "is_silent", lambda self, now_ms: False
+    return (
+        (owners.Owner, "is_silent", lambda self, now_ms: False),
+        (runner.Runner, "_lease_limit_ms", _unlimited_lease),
+    )
+
+
+@_mutant("the lease ends before a client's next submission can start")
+def _ignore_owners_in_lease():
+    return ((runner.Runner, "_lease_limit_ms", _unlimited_lease),)
+
+
+@_mutant("a halt that was lost with its link is repeated")
+def _halt_once():
+    def halt_unwanted(self, worker, listed):
+        pass
+
+    return ((dispatcher.Dispatcher, "_halt_unwanted", halt_unwanted),)
+
+
+@_mutant("a dropped owner is kept until its attempts have ended")
+def _forget_owner():
+    original = runner.Runner.drop_owner
+
+    def drop_owner(self, owner):
+        original(self, owner)
+        return True
+
+    return ((runner.Runner, "drop_owner", drop_owner),)
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -137,6 +137,58 @@
     await asyncio.sleep(0.5)
 
 
+@situation("the lease ends before a client's next submission can start")
+async def lose_entry_and_stops(site):
+    """Kill an entry whose client resubmits at another one, while no stop arrives."""
+    for node in site.nodes:
+        node.worker.lost_stop_share = 1.0
+    await lose_entry(site)
+
+
+@situation("a halt that was lost with its link is repeated")
+async def lose_halt(site):
+    """Break the links of an entry when its client leaves, who resubmits elsewhere."""
+    submission, answer_task = await _submit(site, 0, 2)
+    _break_links(site, 0)
+    answer_task.cancel()
+    await asyncio.sleep(0.06)
+    _connect_all(site, 0)
+    await asyncio.sleep(1.24)
+    _, other = site.entries[1]
+    resubmitted = asyncio.create_task(other.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(0.5)
+    resubmitted.cancel()
+    await asyncio.sleep(0.5)
+
+
+@situation("a dropped owner is kept until its attempts have ended")
+async def reach_dropped_owner(site):
+    """Let an entry be silent and reached again while stops are lost for a while."""
+    await _submit(site, 0, 6)
+    await asyncio.sleep(0.01)
+    identity, dispatcher = site.entries[0]
+    node = site.nodes[0]
+    node.worker.lost_stop_share = 1.0
+    node.owners[identity.incarnation].last_received_ms -= 700
+    await asyncio.sleep(0.06)
+    site.connect(node, identity, dispatcher)
+    await asyncio.sleep(0.3)
+    node.worker.lost_stop_share = 0.0
+    await asyncio.sleep(1)
+
+
+def _break_links(site, entry):
+    identity, _ = site.entries[entry]
+    for node in site.nodes:
+        node.owners[identity.incarnation].link.abort()
+
+
+def _connect_all(site, entry):
+    identity, dispatcher = site.entries[entry]
+    for node in site.nodes:
+        site.connect(node, identity, dispatcher)
+
+
 def _drain(workers, *, draining):
     """Have workers report that they drain, or that they don't."""
     for worker in workers:
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -24,6 +24,11 @@
     context.runner.run(_submit_again(context, index, entry, ms))
 
 
+@when("agent {index:d} is lost")
+def step_lose_agent(context, index):
+    context.runner.run(context.site.lose_agent(index))
+
+
 @when("worker {index:d} reports that it drains")
 def step_drain(context, index):
     context.runner.run(_report_draining(context.site.nodes[index].worker, True))
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -25,6 +25,8 @@
 
 _DELAY_MS = 1.5
 _TICK_INTERVAL_MS = 50
+#: Clients submit again this long after their connection broke.
+RESUBMIT_MS = 1300
 ROUTE = route.Route("parts", "host", "/", "parts", 0, 3, 1.6, 60.0, False)
 
 
@@ -122,7 +124,7 @@
         elif isinstance(body, contract.Halt):
             self.runner.halt(owner, body)
         elif isinstance(body, contract.Beat):
-            owner.room_needed_by_ms = entry_link.last_received_ms + body.slack_ms
+            owner.note_beat(body, entry_link.last_received_ms)
 
     def room(self, owner):
         """Build the room message for an entry."""
@@ -204,6 +206,7 @@
             worker,
             self.clock,
             worker.hold_ms,
+            RESUBMIT_MS,
             lambda: False,
             node.announcer,
             metrics.open_metrics(),
@@ -211,13 +214,23 @@
         node.task = self.loop.create_task(node.runner.run())
         return node
 
+    async def lose_agent(self, index):
+        """Kill an agent; its worker keeps running.
+
+        Returns:
+          The Node.
+        """
+        node = self.nodes[index]
+        node.task.cancel()
+        await node.runner.close()
+        for owner in node.owners.values():
+            owner.link.abort()
+        node.owners.clear()
+        return node
+
     async def restart_node(self, index):
         """Kill an agent and start its next incarnation for the same worker."""
-        former = self.nodes[index]
-        former.task.cancel()
-        await former.runner.close()
-        for owner in former.owners.values():
-            owner.link.abort()
+        former = await self.lose_agent(index)
         node = self._new_node(former.identity.name, former.identity.zone, former.worker)
         self.nodes[index] = node
         for identity, entry in self.entries:
--- a/packages/core/src/jujubeglade/core/_settings_direct.py
+++ b/packages/core/src/jujubeglade/core/_settings_direct.py
@@ -59,6 +59,13 @@
 class DirectAgentSettings(DirectSettings):
     """The settings of an agent of direct jobs."""
 
+    resubmit_ms: int = rules.integer(
+        200,
+        600_000,
+        "How long after their connection broke clients submit again, to any entry; "
+        "what runs for an entry that may be lost ends before that.",
+        1_300,
+    )
     control: records.Address = rules.listener("Where the worker reports.")
     worker: records.Address = rules.listener("Where the worker accepts calls.")
 
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -48,6 +48,7 @@
             self._worker_client,
             clock,
             settings.hold_ms,
+            settings.resubmit_ms,
             self._is_evacuated,
             self._announcer,
             self._metrics,
@@ -120,8 +121,7 @@
             self._cluster_state.offer(body, owner.identity.name)
 
     def _handle_beat(self, owner, beat):
-        owner.known_revisions = (beat.revision, beat.members)
-        owner.room_needed_by_ms = self._clock.now_ms() + beat.slack_ms
+        owner.note_beat(beat, self._clock.now_ms())
         for view in self._cluster_state.newer_than(*owner.known_revisions):
             owner.send(view)
 
--- a/packages/dispatch/src/jujubeglade/direct/attempt.py
+++ b/packages/dispatch/src/jujubeglade/direct/attempt.py
@@ -22,6 +22,7 @@
         "confirmed_ms",
         "end_by_ms",
         "halted_ms",
+        "_alive_ms",
         "is_listed",
         "owner",
         "owner_silence_ms",
@@ -50,6 +51,8 @@
         self.end_by_ms = now_ms + begin.left_ms
         #: When its stop was first requested; None before.
         self.halted_ms = None
+        # When the owner was last known to be alive before that; None before.
+        self._alive_ms = None
         #: The number of stops that the worker was sent for it.
         self.stop_calls = 0
         #: For how long the owner had been silent when it sent this attempt.
@@ -63,6 +66,15 @@
         """Return whether it is to be stopped."""
         return self.halted_ms is not None
 
+    @property
+    def owner_alive_ms(self):
+        """Return when its owner, still waiting for it, was last known to be alive.
+
+        Its client may submit the job again from then on, on the clock that also counts
+        while this VM is suspended.
+        """
+        return self.owner.alive_ms if self._alive_ms is None else self._alive_ms
+
     @property
     def task(self):
         """Return the task's TaskName."""
@@ -78,6 +90,15 @@
         """Return the pair of the task and the run, which identifies the attempt."""
         return (self.begin.task, self.begin.run)
 
+    def halt(self, now_ms):
+        """Record that it is to be stopped.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        self.halted_ms = now_ms
+        self._alive_ms = self.owner.alive_ms
+
     def confirm(self, now_ms):
         """Record that the worker runs it.
 
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -40,6 +40,7 @@
     OUTDATED_RUN = "outdated_run"
     WORKER_REFUSED = "worker_refused"
     LOST = "lost"
+    OWNER_UNHEARD = "owner_unheard"
 
 
 class End(enum.StrEnum):
@@ -61,11 +62,14 @@
       members: An integer, the revision of the owner's Members.
       slack_ms: A number, how long its most urgent waiting job can still wait for room
         and be in time; infinite when no job waits.
+      echo_ms: A number, the `sent_ms` of a Room that the owner received on this link
+        some time ago; 0 for none. See `fleet.Worker.echo_ms`.
     """
 
     revision: int
     members: int
     slack_ms: float
+    echo_ms: float
 
 
 @message.register(87)
@@ -81,6 +85,7 @@
       label: A string, the label that the worker must have; empty for any worker.
       number: An integer, counting the Begins of this link.
       left_ms: A number, the time in ms after which the attempt is too late.
+      echo_ms: A number, the `sent_ms` of the last Room received on this link.
     """
 
     task: job.TaskName
@@ -91,6 +96,7 @@
     label: str
     number: int
     left_ms: float
+    echo_ms: float
 
 
 @message.register(88)
@@ -119,6 +125,8 @@
       last_begin: An integer, the number of the last Begin that `free` includes.
       revision: An integer, the revision of the agent's OperatorState.
       members: An integer, the revision of the agent's Members.
+      sent_ms: A number, when it was sent, on the agent's clock that also counts while
+        its VM is suspended. The owner echoes it, which proves that it was alive then.
     """
 
     service: str
@@ -129,6 +137,7 @@
     last_begin: int
     revision: int
     members: int
+    sent_ms: float
 
 
 @message.register(90)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 
 from jujubeglade.core import clock, log, message, metrics
@@ -168,7 +169,7 @@
             incarnation=link.remote.incarnation,
             holding=len(worker.assigned_tasks),
         )
-        link.send(self._heartbeat())
+        link.send(self._heartbeat(worker.echo_ms))
 
     def on_link_lost(self, link):
         """Mark the worker as lost when the link of its agent has closed.
@@ -206,14 +207,24 @@
             self._cluster_state.offer(body, link.remote.name)
 
     def send_heartbeats(self):
-        """Send all agents a heartbeat that announces by when room is needed."""
-        heartbeat = self._heartbeat()
-        self._heartbeat_sent_ms = self._clock.now_ms()
-        self._announced_need_ms = self._heartbeat_sent_ms + heartbeat.slack_ms
+        """Send each agent a heartbeat with the time of a Room of its own."""
+        heartbeat = self._heartbeat(0.0)
+        self._note_announced(heartbeat)
+        for worker in self._fleet:
+            worker.link.send(dataclasses.replace(heartbeat, echo_ms=worker.echo_ms))
+
+    def _announce_need(self):
+        """Send all agents the same heartbeat: by when room is needed."""
+        heartbeat = self._heartbeat(0.0)
+        self._note_announced(heartbeat)
         encoded = message.encode(heartbeat)
         for worker in self._fleet:
             worker.link.send(heartbeat, encoded)
 
+    def _note_announced(self, heartbeat):
+        self._heartbeat_sent_ms = self._clock.now_ms()
+        self._announced_need_ms = self._heartbeat_sent_ms + heartbeat.slack_ms
+
     def on_round(self):
         """Announce the time by which room is needed, if it has changed."""
         now_ms = self._clock.now_ms()
@@ -221,18 +232,21 @@
         if room_needed_by_ms == self._announced_need_ms:
             return
         if now_ms - self._heartbeat_sent_ms >= _NEED_INTERVAL_MS:
-            self.send_heartbeats()
+            self._announce_need()
 
-    def _heartbeat(self):
+    def _heartbeat(self, echo_ms):
         return contract.Beat(
             self._cluster_state.operators.revision,
             self._cluster_state.members.revision,
             self._scheduler.room_needed_by_ms() - self._clock.now_ms(),
+            echo_ms,
         )
 
     def tick(self):
         """Remove workers that are gone, and offer waiting tasks to all workers."""
         now_ms = self._clock.now_ms()
+        for worker in self._fleet:
+            worker.tick()
         for worker in self._fleet.gone(now_ms):
             _log.warning(
                 "worker gone",
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -14,17 +14,19 @@
 _FIRST_REPORT_MS = 2000
 #: Running agents connect to a restarted entry within this time.
 _REDIAL_MS = 1000
-_NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0)
+_NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0, 0.0)
 
 
 class Worker:
     """One incarnation of an agent with its worker."""
 
     __slots__ = (
+        "_echo_ms",
         "_last_begin",
         "_free",
         "_link",
         "_room",
+        "_seen_ms",
         "_unreported_needs",
         "health",
         "assigned_tasks",
@@ -57,6 +59,10 @@
         self._free = job.NOTHING
         self._link = link
         self._room = _NO_ROOM
+        # The times of the Rooms that had been received at the last tick and at the one
+        # before it.
+        self._seen_ms = 0.0
+        self._echo_ms = 0.0
         # The needs of attempts that the agent's Room does not include yet, by the
         # number of their Begin.
         self._unreported_needs = {}
@@ -71,6 +77,15 @@
         """Return the Room that the agent sent last."""
         return self._room
 
+    @property
+    def echo_ms(self):
+        """Return the time of a Room that had been received one tick before the last.
+
+        An entry that resumes after a suspension may read new Rooms before it notices
+        which clients have left meanwhile. Those have been noticed a tick later.
+        """
+        return self._echo_ms
+
     @property
     def free(self):
         """Return the free resources as far as this entry knows, as a Resources."""
@@ -108,6 +123,13 @@
         self._unreported_needs.clear()
         self._room = _NO_ROOM
         self._free = job.NOTHING
+        self._seen_ms = 0.0
+        self._echo_ms = 0.0
+
+    def tick(self):
+        """Make the time of the Room of the last tick the one that is echoed."""
+        self._echo_ms = self._seen_ms
+        self._seen_ms = self._room.sent_ms
 
     def update_room(self, room):
         """Handle a Room of the agent.
@@ -159,6 +181,7 @@
                 step.label,
                 self._last_begin,
                 left_ms,
+                self._room.sent_ms,
             )
         )
 
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -3,6 +3,10 @@
 An owner is one incarnation of an entry. What runs for it is stopped when nothing was
 received from it for `contract.SILENCE_TIMEOUT_MS`, on a clock that also counts while
 this VM is suspended.
+
+A message that arrives does not tell when it was sent: it may have waited in a buffer
+while this VM was suspended. So an owner echoes the times of this agent's messages. It
+was alive at the latest time that it has echoed, and waited for its clients' jobs then.
 """
 
 import collections
@@ -12,6 +16,9 @@
 
 #: The number of Ended messages kept for an owner, in case its link has failed.
 _MAX_ENDED = 512
+#: An owner whose latest echo is older than this counts as lost. The worker lease ends
+#: soon after, with all that runs there.
+_MAX_ECHO_AGE_MS = 900
 
 
 class Owner:
@@ -20,6 +27,7 @@
     __slots__ = (
         "_ended",
         "_link",
+        "alive_ms",
         "last_begin",
         "last_received_ms",
         "identity",
@@ -37,6 +45,8 @@
         """
         self.identity = link.remote
         self.last_received_ms = now_ms
+        #: When it was last known to be alive, by its echoes; 0 before the first one.
+        self.alive_ms = 0.0
         #: The time between the last two messages.
         self.silence_ms = 0.0
         #: The number of the last Begin received on the link.
@@ -86,7 +96,28 @@
         Args:
           now_ms: A number, the clock that also counts while the VM is suspended.
         """
-        return now_ms - self.last_received_ms > contract.SILENCE_TIMEOUT_MS
+        if now_ms - self.last_received_ms > contract.SILENCE_TIMEOUT_MS:
+            return True
+        return self.alive_ms > 0 and now_ms - self.alive_ms > _MAX_ECHO_AGE_MS
+
+    def note_echo(self, echo_ms):
+        """Record an echo of a time of this agent.
+
+        Args:
+          echo_ms: A number; 0 for none.
+        """
+        self.alive_ms = max(self.alive_ms, echo_ms)
+
+    def note_beat(self, beat, now_ms):
+        """Handle a Beat.
+
+        Args:
+          beat: A Beat.
+          now_ms: A number, the monotonic clock.
+        """
+        self.known_revisions = (beat.revision, beat.members)
+        self.room_needed_by_ms = now_ms + beat.slack_ms
+        self.note_echo(beat.echo_ms)
 
     def send(self, body):
         """Send a message, and keep an Ended to send again after a link failure.
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -45,6 +45,8 @@
 _STOP_OVERLAP_MS = 40
 #: An answered stop is repeated after this time; by then the attempt has usually ended.
 _STOP_RETRY_MS = 120
+#: The worker lease expires this long before a client's next submission can start.
+_RESUBMIT_MARGIN_MS = 50
 #: How long a new instance is relied on before it reports. A worker that is about to
 #: leave reports so within this time after an agent restarts.
 _UNCONFIRMED_LIMIT_MS = 2000
@@ -80,6 +82,7 @@
         "_last_instance",
         "_lease",
         "_lease_ms",
+        "_resubmit_ms",
         "_instance",
         "_metrics",
         "_is_evacuated",
@@ -95,7 +98,14 @@
     )
 
     def __init__(
-        self, worker_client, clock, lease_ms, is_evacuated, announcer, metrics
+        self,
+        worker_client,
+        clock,
+        lease_ms,
+        resubmit_ms,
+        is_evacuated,
+        announcer,
+        metrics,
     ):
         """Create a runner without a worker.
 
@@ -103,6 +113,8 @@
           worker_client: A WorkerClient.
           clock: A Clock.
           lease_ms: An integer, the longest lease of the worker.
+          resubmit_ms: An integer, how long after their connection broke clients submit
+            again.
           is_evacuated: A function without arguments that returns whether this
             availability zone is out of service.
           announcer: An Announcer, notified of changes of the room.
@@ -112,6 +124,7 @@
         self._worker_client = worker_client
         self._clock = clock
         self._lease_ms = lease_ms
+        self._resubmit_ms = resubmit_ms
         self._is_evacuated = is_evacuated
         self._announcer = announcer
         self._attempts = {}
@@ -179,6 +192,7 @@
             owner.last_begin,
             revision,
             members,
+            self._clock.elapsed_ms(),
         )
 
     def roster(self, owner):
@@ -207,6 +221,7 @@
           begin: A Begin.
         """
         owner.last_begin = begin.number
+        owner.note_echo(begin.echo_ms)
         self._admit(owner, begin)
 
     def _admit(self, owner, begin):
@@ -326,6 +341,8 @@
             return contract.Refusal.NO_WORKER
         if self._foreign:
             return contract.Refusal.NO_WORKER
+        if self._lease_limit_ms(self._attempts.values()) <= 0:
+            return contract.Refusal.NO_WORKER
         if self._report.draining:
             return contract.Refusal.DRAINING
         if self.leaving:
@@ -362,6 +379,25 @@
         left_ms = held.left_ms(self._clock.now_ms())
         self._admit(held.owner, dataclasses.replace(held.begin, left_ms=left_ms))
 
+    def _lease_limit_ms(self, attempts):
+        """Return the time from now within which the lease must have expired.
+
+        By then the clients of the attempts may have submitted them again elsewhere.
+        It is 0 while the worker runs what this agent has not started.
+        """
+        if self._foreign:
+            return 0
+        alive_ms = min(
+            (attempt.owner_alive_ms for attempt in attempts), default=math.inf
+        )
+        limit_ms = alive_ms + self._resubmit_ms - _RESUBMIT_MARGIN_MS
+        return limit_ms - self._clock.elapsed_ms()
+
+    def _extend_lease(self, now_ms):
+        """Return the end of the lease for a call that is sent now, or None."""
+        limit_ms = self._lease_limit_ms(self._attempts.values())
+        return self._lease.extend(now_ms, limit_ms)
+
     def _refuse(self, owner, begin, refusal):
         self._metrics.count(metrics.Counter.REJECTED, str(refusal))
         _log.info(
@@ -381,8 +417,12 @@
         if attempt.owner.is_silent(self._clock.elapsed_ms()) or attempt.halted:
             self._drop_unstarted(attempt, contract.Refusal.LEAVING)
             return
-        until_ms = self._lease.extend(self._clock.now_ms())
-        if until_ms is None:
+        now_ms = self._clock.now_ms()
+        if self._lease.remaining_ms(now_ms) > self._lease_limit_ms((attempt,)):
+            self._drop_unstarted(attempt, contract.Refusal.OWNER_UNHEARD)
+            return
+        until_ms = self._extend_lease(now_ms)
+        if until_ms is None or self._instance is None:
             self._drop_unstarted(attempt, contract.Refusal.NO_WORKER)
             return
         attempt.token = self._token
@@ -400,8 +440,6 @@
         if answer is worker.Answer.OK:
             attempt.confirm(self._clock.now_ms())
             self._metrics.count(metrics.Counter.STARTED)
-            if attempt.halted:
-                self._spawn(self._stop(attempt))
         elif answer is worker.Answer.UNKNOWN:
             attempt.phase = attempt_.Phase.UNRESOLVED
             _log.warning(
@@ -455,7 +493,7 @@
     def _halt(self, attempt, cause):
         if attempt.halted:
             return
-        attempt.halted_ms = self._clock.now_ms()
+        attempt.halt(self._clock.now_ms())
         _log.info(
             "attempt halted",
             task=attempt.task,
@@ -463,8 +501,7 @@
             cause=cause,
             ran_ms=int(attempt.halted_ms - attempt.started_ms),
         )
-        if attempt.phase is not attempt_.Phase.STARTING:
-            self._spawn(self._stop(attempt))
+        self._spawn(self._stop(attempt))
 
     async def _stop(self, attempt):
         """Ask the worker repeatedly to stop an attempt until it has ended.
@@ -499,7 +536,7 @@
         """Poll the worker, renew its lease, and handle the reply."""
         instance = self._instance
         sent_ms = self._clock.now_ms()
-        until_ms = self._lease.extend(sent_ms) if self._clean else None
+        until_ms = self._extend_lease(sent_ms) if self._clean else None
         target = worker.Target(instance, self._token)
         wait_ms = _POLL_WAIT_MS if self._clean and self._responsive else 0
         reply = await self._worker_client.poll(target, self._cursor, until_ms, wait_ms)
@@ -567,8 +604,6 @@
         attempt.is_listed = True
         if attempt.phase is attempt_.Phase.UNRESOLVED:
             attempt.confirm(self._clock.now_ms())
-            if attempt.halted:
-                self._spawn(self._stop(attempt))
 
     def _handle_absent(self, attempt, sent_ms, token):
         """Handle an attempt that the worker does not list.
--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -10,6 +10,8 @@
 _MAX_ANSWER_AGE_MS = 800
 #: A worker's clock may run slow by up to this factor.
 _SLOW_CLOCK_FACTOR = 1.02
+#: The estimate of the worker's clock may be ahead by this much, as it is slow.
+_CLOCK_ERROR_MS = 20
 #: Time for a call in flight, and for the worker to end what it runs.
 _END_MARGIN_MS = 100
 
@@ -21,6 +23,7 @@
         "_answered_ms",
         "_clock_read_ms",
         "_clock_ms",
+        "_expires_ms",
         "_extended_ms",
         "_lease_ms",
     )
@@ -37,6 +40,9 @@
         self._extended_ms = now_ms
         self._clock_ms = None
         self._clock_read_ms = now_ms
+        # When it has expired at the latest; an earlier incarnation of this agent may
+        # have extended it.
+        self._expires_ms = now_ms + _longest_ms(lease_ms)
 
     def ages_ms(self, now_ms):
         """Return the ages of the last answer and of the last extension.
@@ -68,11 +74,12 @@
         """
         self._answered_ms = now_ms
 
-    def extend(self, now_ms):
+    def extend(self, now_ms, limit_ms):
         """Extend the lease with a call that is about to be sent.
 
         Args:
           now_ms: A number, the monotonic clock.
+          limit_ms: A number, the time from now within which it must have expired.
 
         Returns:
           An integer, the end of the lease on the worker's clock, or None when the call
@@ -80,8 +87,20 @@
         """
         if self._clock_ms is None or now_ms - self._answered_ms > _MAX_ANSWER_AGE_MS:
             return None
+        lease_ms = min(self._lease_ms, limit_ms / _SLOW_CLOCK_FACTOR - _CLOCK_ERROR_MS)
+        if lease_ms <= 0:
+            return None
         self._extended_ms = now_ms
-        return int(self._clock_ms + now_ms - self._clock_read_ms) + self._lease_ms
+        self._expires_ms = max(self._expires_ms, now_ms + _longest_ms(lease_ms))
+        return int(self._clock_ms + now_ms - self._clock_read_ms + lease_ms)
+
+    def remaining_ms(self, now_ms):
+        """Return for how long the worker may go on without another extension.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        return self._expires_ms - now_ms
 
     def has_lapsed(self, now_ms):
         """Return whether everything that the worker ran has certainly ended.
@@ -89,8 +108,12 @@
         Args:
           now_ms: A number, the monotonic clock.
         """
-        longest_ms = self._lease_ms * _SLOW_CLOCK_FACTOR + _END_MARGIN_MS
-        return now_ms - self._extended_ms > longest_ms
+        return self.remaining_ms(now_ms) < -_END_MARGIN_MS
+
+
+def _longest_ms(lease_ms):
+    """Return how long a lease may last that is granted now."""
+    return (lease_ms + _CLOCK_ERROR_MS) * _SLOW_CLOCK_FACTOR
 
 
 def new_worker_lease(lease_ms, now_ms):
