Have the simulated worker refuse a start whose lease has already ended

It ran such a start for 0 ms, which counts as a run; the protocol has the answer "late" for it (worker.Answer.TOO_LATE). Without this, an agent that had been frozen for 3 s seemed to start what its owner had given up; with it, that start is refused.

--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -273,6 +273,8 @@
             return worker.Answer.OK
         if start.run <= self._ended_runs.get(start.task, 0) or attempt is not None:
             return worker.Answer.OUTDATED_RUN
+        if start.lease_until_ms <= self._now_ms():
+            return worker.Answer.TOO_LATE
         self._extend_lease(start.lease_until_ms)
         fields = start.spec.split()
         needs = job.Resources(int(fields[0]), 0, 0)
