Keep a failing case: tasks placed again while their stops are under way

Callers saw two runs of one task. An agent that has not heard an entry for 600 ms drops it with its attempts; when the same entry is reached again, the Roster on the new link lists none of them, and the entry places them on another worker at once, though the stops at the first one are lost or still under way.

Evidence: behave features/direct_faults.feature, this scenario: "...0.3 runs on worker-0 and on worker-1: on worker-0 from 1603 ms, on worker-1 from 2656 ms; on worker-0 until 3020 ms (stopped)"; the log has "roster received" with these attempts as missing. Where the first worker still has room, the agent's Refusal.DUPLICATE hides the fault.

--- /dev/null
+++ b/features/direct_faults.feature
@@ -0,0 +1,6 @@
+Feature: Faults of the field cause no two concurrent runs of a task of direct jobs
+
+  Scenario: An entry that is reached again doesn't place tasks elsewhere that are still being stopped
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "an entry is reached again while stops for it are lost" occurs
+    Then no worker recorded a violation
--- /dev/null
+++ b/features/direct_faults.py
@@ -0,0 +1,62 @@
+"""Faults of the field after which a task of direct jobs must not run twice at a time.
+
+Each function plays one fault on a FieldSite whose entry 0 has placed tasks on worker 0.
+"""
+
+import asyncio
+
+from jujubeglade.fakes import direct_clients
+
+_faults = {}
+_CORES = 4000
+#: As many as fill one worker.
+_TASKS = 4
+_RUN_MS = 2500
+_CLIENT_TIMEOUT_MS = 15000
+
+
+def fault(name):
+    """Return a decorator that registers the function that plays a fault."""
+
+    def register(function):
+        _faults[name] = function
+        return function
+
+    return register
+
+
+def find(name):
+    """Return the coroutine function of a fault, which takes a FieldSite."""
+    return _faults[name]
+
+
+@fault("an entry is reached again while stops for it are lost")
+async def reach_again(site):
+    """Cut entry 0 off worker 0, which loses stops, and heal the cut after 700 ms."""
+    await _submit_to_first(site)
+    site.agents[0].worker.lost_stop_share = 1.0
+    site.network.cut("worker-0", "entry-0")
+    await asyncio.sleep(0.7)
+    site.network.heal("worker-0", "entry-0")
+    await asyncio.sleep(0.5)
+    site.agents[0].worker.lost_stop_share = 0.0
+    await asyncio.sleep(3)
+
+
+async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
+    """Submit a job to entry 0 that it places on worker 0."""
+    _drain(site.agents[1].worker, draining=True)
+    await asyncio.sleep(0.1)
+    submission = site.submission(tasks, _CORES, run_ms, _CLIENT_TIMEOUT_MS)
+    direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(0.1)
+    _drain(site.agents[1].worker, draining=False)
+    await asyncio.sleep(0.1)
+    assert site.agents[0].worker.running == tasks
+    return submission
+
+
+def _drain(worker, *, draining):
+    """Have a worker report that it drains, or that it doesn't."""
+    worker.draining = draining
+    worker.report()
