Keep a failing case: a stop that is lost with the link is not repeated

Callers saw two runs of one task. An entry whose links and clients' connections are reset at one moment sends Halt on closed links. The next Roster lists the attempts, the entry logs them as unknown and does nothing, so that they run to their end beside those of the client's second submission at another entry.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -4,3 +4,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "an entry is reached again while stops for it are lost" occurs
     Then no worker recorded a violation
+
+  Scenario: A client's submission at another entry doesn't run beside runs whose stops were lost in a reset
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "links and clients' connections are reset at one moment" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -43,6 +43,15 @@
     await asyncio.sleep(3)
 
 
+@fault("links and clients' connections are reset at one moment")
+async def reset_all(site):
+    """Reset all connections of entry 0; its client submits again at entry 1."""
+    submission = await _submit_to_first(site)
+    site.reset(site.entries[0])
+    await _submit_again(site, submission)
+    await asyncio.sleep(3)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
@@ -56,6 +65,13 @@
     return submission
 
 
+async def _submit_again(site, submission):
+    """Submit a job at entry 1, as its client does."""
+    await asyncio.sleep(direct_clients.RESUBMIT_DELAY_MS / 1000)
+    direct_clients.Request(site.entries[1], submission)
+    await asyncio.sleep(0.005)
+
+
 def _drain(worker, *, draining):
     """Have a worker report that it drains, or that it doesn't."""
     worker.draining = draining
