Keep a failing case: stops lost for 700 ms while the lease is extended

Callers saw two runs of one task. An entry is killed; the agent halts its attempts after 600 ms, the worker loses the stops, and each poll extends the lease of everything on it. The client submits again at another entry 1300 ms after.

Evidence: behave features/direct_faults.feature, this scenario: on worker-0 from 1603 ms until 3320 ms (stopped), on worker-1 from 3103 ms.

--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -52,6 +52,18 @@
     await asyncio.sleep(3)
 
 
+@fault("stops are lost for 700 ms after the owner was dropped")
+async def lose_stops(site):
+    """Kill entry 0 while worker 0 loses stops; its client submits again at entry 1."""
+    submission = await _submit_to_first(site)
+    site.kill(site.entries[0])
+    site.agents[0].worker.lost_stop_share = 1.0
+    await _submit_again(site, submission)
+    await asyncio.sleep(0.1)
+    site.agents[0].worker.lost_stop_share = 0.0
+    await asyncio.sleep(3)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
