Keep a failing case: stops executed 2 to 12 s late while the lease is extended

As with lost stops: the run goes on to its natural end, as nothing but a stop in time ends it while polls go on extending the lease.

Evidence: behave features/direct_faults.feature, this scenario: on worker-0 from 1603 ms until 4103 ms (done), on worker-1 from 3103 ms.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -14,3 +14,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "stops are lost for 700 ms after the owner was dropped" occurs
     Then no worker recorded a violation
+
+  Scenario: A client's submission at another entry doesn't run beside runs whose stops are executed late
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "stops are executed seconds late after the owner was dropped" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -64,6 +64,17 @@
     await asyncio.sleep(3)
 
 
+@fault("stops are executed seconds late after the owner was dropped")
+async def delay_stops(site):
+    """Kill entry 0 while stops at worker 0 are late; its client submits again."""
+    submission = await _submit_to_first(site)
+    site.kill(site.entries[0])
+    site.agents[0].worker.late_stop_share = 1.0
+    site.agents[0].worker.late_ms = (2000, 12000)
+    await _submit_again(site, submission)
+    await asyncio.sleep(3)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
