Keep a failing case: late polls outlive the agent's bound of the lease

Callers saw two runs of one task. The bound counts from when an extension was sent. Where the lease of a late poll counts from its execution, a poll that is 700 ms late extends it beyond that; unanswered polls don't raise the fencing token, so nothing makes them void.

Ruled out: with an end of the lease on the worker's clock that doesn't shift (late_lease_shifts false) the runs end in time.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -19,3 +19,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "stops are executed seconds late after the owner was dropped" occurs
     Then no worker recorded a violation
+
+  Scenario: Tasks aren't placed again while late polls still extend the lease that the agent holds for expired
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "late polls extend the lease after the agent has concluded that it expired" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -75,6 +75,17 @@
     await asyncio.sleep(3)
 
 
+@fault("late polls extend the lease after the agent has concluded that it expired")
+async def delay_polls(site):
+    """Have worker 0 answer no more polls and execute them 700 ms late."""
+    worker = site.agents[0].worker
+    worker.late_lease_shifts = True
+    worker.late_ms = (700, 700)
+    await _submit_to_first(site, 5000)
+    worker.late_poll_share = 1.0
+    await asyncio.sleep(6)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
