Keep a failing case: late polls outlive the entry's bound of a lost agent's lease

An agent is frozen after polls that are 2400 ms late, one each 950 ms. The entry places its tasks again 1.85 s after the link was lost; the late polls keep the runs on the first worker going until after that.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -24,3 +24,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "late polls extend the lease after the agent has concluded that it expired" occurs
     Then no worker recorded a violation
+
+  Scenario: Tasks aren't placed again while late polls still extend the lease of a frozen agent's worker
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "late polls extend the lease while their agent is frozen" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -86,6 +86,26 @@
     await asyncio.sleep(6)
 
 
+@fault("late polls extend the lease while their agent is frozen")
+async def delay_polls_and_freeze(site):
+    """Freeze agent 0 just after the fourth poll that is late, of one each second."""
+    worker = site.agents[0].worker
+    worker.late_lease_shifts = True
+    worker.late_ms = (2400, 2400)
+    await _submit_to_first(site, 12000)
+    for _ in range(3):
+        worker.late_poll_share = 1.0
+        await asyncio.sleep(0.3)
+        worker.late_poll_share = 0.0
+        await asyncio.sleep(0.65)
+    worker.late_poll_share = 1.0
+    await asyncio.sleep(0.3)
+    site.agents[0].process.freeze()
+    await asyncio.sleep(5)
+    site.agents[0].process.resume()
+    await asyncio.sleep(1)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
