Keep a failing case: a frozen agent starts what the client has submitted elsewhere

An agent is frozen when a Begin arrives; the entry's links and clients' connections are reset, and the client submits again at another entry after 1300 ms. The agent wakes, reads the Begin, which counts as a sign of life of its owner, and starts it.

The overlap is short, and needs the worker's clock to be 2% slow: the answer to the last poll is at most 300 ms younger than the freeze, so that the end of the lease in the start is at most 1320 ms later. Ruled out: a longer freeze; its start is refused as late, or not sent because the last answer is older than 800 ms.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -29,3 +29,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "late polls extend the lease while their agent is frozen" occurs
     Then no worker recorded a violation
+
+  Scenario: A frozen agent doesn't start what its owner has given up
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a frozen agent on a slow clock reads a start after the client's resubmission" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -13,6 +13,8 @@
 _TASKS = 4
 _RUN_MS = 2500
 _CLIENT_TIMEOUT_MS = 15000
+#: The interval of polls while no attempt ends, from the start of the site.
+_POLL_INTERVAL_MS = 300
 
 
 def fault(name):
@@ -106,6 +108,25 @@
     await asyncio.sleep(1)
 
 
+@fault("a frozen agent on a slow clock reads a start after the client's resubmission")
+async def freeze_and_start(site):
+    """Freeze agent 0 before it gets a start, until the client has submitted again."""
+    worker = site.agents[0].worker
+    worker.clock_rate = 0.98
+    _drain(site.agents[1].worker, draining=True)
+    await asyncio.sleep(0.1)
+    submission = site.submission(1, _CORES, _RUN_MS)
+    await _poll_has_begun(site)
+    site.agents[0].process.freeze()
+    direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(0.004)
+    site.reset(site.entries[0])
+    _drain(site.agents[1].worker, draining=False)
+    await _submit_again(site, submission)
+    site.agents[0].process.resume()
+    await asyncio.sleep(2)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
@@ -126,6 +147,12 @@
     await asyncio.sleep(0.005)
 
 
+async def _poll_has_begun(site):
+    """Wait until agents without load have just sent a poll."""
+    into_poll_ms = site.clock.now_ms() % _POLL_INTERVAL_MS
+    await asyncio.sleep((_POLL_INTERVAL_MS - into_poll_ms + 2) / 1000)
+
+
 def _drain(worker, *, draining):
     """Have a worker report that it drains, or that it doesn't."""
     worker.draining = draining
