Keep a failing case: a duplicate is placed elsewhere while the first run is stopped

A second owner's Begin at the worker that still runs the task is refused as a duplicate, and the agent stops the first run. The owner places the task again at once, on the same worker each 3 ms until another one has room, and there beside the first run.

Evidence: behave features/direct_faults.feature, this scenario: on worker-0 until 3420 ms (stopped), on worker-1 from 3130 ms; between 3102 and 3130 ms the task was sent to worker-0 and refused once each 3 ms.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -34,3 +34,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "a frozen agent on a slow clock reads a start after the client's resubmission" occurs
     Then no worker recorded a violation
+
+  Scenario: A task that is refused as a duplicate isn't placed elsewhere while its first run is being stopped
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a start is refused as a duplicate while the first run is being stopped" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -127,6 +127,21 @@
     await asyncio.sleep(2)
 
 
+@fault("a start is refused as a duplicate while the first run is being stopped")
+async def refuse_duplicate(site):
+    """Kill entry 0; its task is sent to worker 0 again while that loses stops."""
+    submission = await _submit_to_first(site, tasks=1)
+    site.kill(site.entries[0])
+    site.agents[0].worker.lost_stop_share = 1.0
+    _drain(site.agents[1].worker, draining=True)
+    await _submit_again(site, submission)
+    await asyncio.sleep(0.02)
+    _drain(site.agents[1].worker, draining=False)
+    await asyncio.sleep(0.2)
+    site.agents[0].worker.lost_stop_share = 0.0
+    await asyncio.sleep(3)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
