Count unanswered calls into the time after which a worker lease has expired

Cause: the wait after which attempts count as lapsed allowed for one lease from the last call sent. A call without an answer that no higher token has made void yet may extend the lease just before it expires, and another one after that.

Why it works: each such call can add at most one lease, whatever its delay, so the wait grows by one lease for each. To keep them few, no poll extends the lease after one without an answer until the next answer. Polls wait for 200 ms instead of 300, and count as unanswered after 200 ms more, so that the lease outlasts two of them; it outlasted one.

What remains: an entry that can't reach the agent knows nothing of such calls, and waits 1,850 ms. That is too short if a call is executed late within the lease and its time counts from then, while the agent is lost as well.

--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from jujubeglade.fakes import direct_clients
+from jujubeglade.fakes import direct_clients, direct_site
 
 _faults = {}
 _CORES = 4000
@@ -157,7 +157,7 @@
 
 async def _submit_again(site, submission):
     """Submit a job at entry 1, as its client does."""
-    await asyncio.sleep(direct_clients.RESUBMIT_DELAY_MS / 1000)
+    await asyncio.sleep(direct_site.RESUBMIT_DELAY_MS / 1000)
     direct_clients.Request(site.entries[1], submission)
     await asyncio.sleep(0.005)
 
--- a/packages/bench/src/jujubeglade/fakes/direct_clients.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_clients.py
@@ -6,7 +6,6 @@
 from jujubeglade.direct import job
 from jujubeglade.fakes import direct_site
 
-RESUBMIT_DELAY_MS = 1300
 _DELAY_MS = 1.5
 _MAX_TRIES = 4
 
@@ -94,5 +93,5 @@
         outcome = await request.outcome()
         if outcome is not None and outcome.state is not job.State.UNFINISHED:
             return outcome
-        await asyncio.sleep(clock.seconds(RESUBMIT_DELAY_MS))
+        await asyncio.sleep(clock.seconds(direct_site.RESUBMIT_DELAY_MS))
     return None
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -9,7 +9,7 @@
 import result
 
 from jujubeglade.direct import agent, contract, entry, platforms, worker
-from jujubeglade.fakes import direct_worker
+from jujubeglade.fakes import direct_site, direct_worker
 
 _HOLD_MS = 1000
 _PORT = 1
@@ -242,6 +242,7 @@
         cluster_key="",
         platform=_PLATFORM,
         hold_ms=_HOLD_MS,
+        resubmit_ms=direct_site.RESUBMIT_DELAY_MS,
         seeds=(),
         stream=types.SimpleNamespace(port=_PORT),
         worker=worker,
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -26,7 +26,7 @@
 _DELAY_MS = 1.5
 _TICK_INTERVAL_MS = 50
 #: Clients submit again this long after their connection broke.
-RESUBMIT_MS = 1300
+RESUBMIT_DELAY_MS = 1300
 ROUTE = route.Route("parts", "host", "/", "parts", 0, 3, 1.6, 60.0, False)
 
 
@@ -206,7 +206,7 @@
             worker,
             self.clock,
             worker.hold_ms,
-            RESUBMIT_MS,
+            RESUBMIT_DELAY_MS,
             lambda: False,
             node.announcer,
             metrics.open_metrics(),
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -14,8 +14,9 @@
 
 #: How long an attempt still runs after its stop.
 _STOP_MS = 20
-#: The agent's timeouts for the answer to a call, and to a stop.
+#: The agent's timeouts for the answer to a call, to a poll and to a stop.
 _ANSWER_TIMEOUT_MS = 300
+_POLL_ANSWER_TIMEOUT_MS = 200
 _STOP_ANSWER_TIMEOUT_MS = 100
 
 
@@ -231,7 +232,7 @@
 
     async def poll(self, target, cursor, lease_until_ms, wait_ms):
         """Renew the worker lease; see `WorkerClient.poll`."""
-        poll_timeout_ms = wait_ms + _ANSWER_TIMEOUT_MS
+        poll_timeout_ms = wait_ms + _POLL_ANSWER_TIMEOUT_MS
         if self.silent or self._rng.random() < self.lost_poll_share:
             return await self._time_out(worker.PollReply, poll_timeout_ms)
         if self.late_poll_share and self._rng.random() < self.late_poll_share:
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -34,9 +34,9 @@
     worker_lease,
 )
 
-#: How long the worker may delay its reply to a poll until an attempt ends; several
-#: polls fit into the shortest lease.
-_POLL_WAIT_MS = 300
+#: How long the worker may delay its reply to a poll until an attempt ends. The lease
+#: outlasts two polls without an answer.
+_POLL_WAIT_MS = 200
 #: The interval of polls while the worker does not answer, and until it has listed its
 #: attempts and those that this runner has not started have ended.
 _POLL_RETRY_MS = 50
@@ -394,9 +394,9 @@
         return limit_ms - self._clock.elapsed_ms()
 
     def _extend_lease(self, now_ms):
-        """Return the end of the lease for a call that is sent now, or None."""
+        """Return the Extension of the lease for a call that is sent now, or None."""
         limit_ms = self._lease_limit_ms(self._attempts.values())
-        return self._lease.extend(now_ms, limit_ms)
+        return self._lease.extend(now_ms, limit_ms, self._token)
 
     def _refuse(self, owner, begin, refusal):
         self._metrics.count(metrics.Counter.REJECTED, str(refusal))
@@ -421,14 +421,17 @@
         if self._lease.remaining_ms(now_ms) > self._lease_limit_ms((attempt,)):
             self._drop_unstarted(attempt, contract.Refusal.OWNER_UNHEARD)
             return
-        until_ms = self._extend_lease(now_ms)
-        if until_ms is None or self._instance is None:
+        lease = self._lease
+        extension = self._extend_lease(now_ms)
+        if extension is None or self._instance is None:
             self._drop_unstarted(attempt, contract.Refusal.NO_WORKER)
             return
         attempt.token = self._token
         target = worker.Target(self._instance, self._token)
-        start = worker.Start(begin.task, begin.run, begin.spec, until_ms)
+        start = worker.Start(begin.task, begin.run, begin.spec, extension.until_ms)
         reply = await self._worker_client.start(target, start)
+        if reply.answer is not worker.Answer.UNKNOWN:
+            lease.close(extension)
         if self._attempts.get(attempt.task) is not attempt:
             return
         if target.instance == self._instance:
@@ -536,10 +539,19 @@
         """Poll the worker, renew its lease, and handle the reply."""
         instance = self._instance
         sent_ms = self._clock.now_ms()
-        until_ms = self._extend_lease(sent_ms) if self._clean else None
+        lease = self._lease
+        # After a poll without an answer, the lease is not extended before the next one.
+        is_relied_on = self._clean and self._responsive
+        extension = self._extend_lease(sent_ms) if is_relied_on else None
         target = worker.Target(instance, self._token)
-        wait_ms = _POLL_WAIT_MS if self._clean and self._responsive else 0
-        reply = await self._worker_client.poll(target, self._cursor, until_ms, wait_ms)
+        reply = await self._worker_client.poll(
+            target,
+            self._cursor,
+            extension.until_ms if extension is not None else None,
+            _POLL_WAIT_MS if is_relied_on else 0,
+        )
+        if reply.answer is not worker.Answer.UNKNOWN:
+            lease.close(extension)
         if instance != self._instance:
             return
         if reply.started_ms and instance.started_ms not in (0, reply.started_ms):
@@ -568,7 +580,7 @@
 
     def _apply(self, reply, sent_ms, token):
         """Reconcile the attempts with what the worker lists."""
-        self._lease.note_answer(self._clock.now_ms())
+        self._lease.note_answer(self._clock.now_ms(), token)
         self._unanswered_polls = 0
         for finished in reply.finished:
             self._handle_finished(finished)
@@ -650,6 +662,7 @@
             answer_age_ms=int(answer_age_ms),
             extension_age_ms=int(extension_age_ms),
             unanswered_polls=self._unanswered_polls,
+            open_extensions=self._lease.open_extensions,
             token=self._token,
         )
 
--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -3,11 +3,14 @@
 The agent's calls extend the lease; when it expires, the worker ends what it runs. This
 module tracks the worker's clock, chooses the end of each extension, and determines
 when everything that ran on an unreachable worker has certainly ended.
+
+A call without an answer may be executed late, and its time may count from then. It is
+void once the worker has answered a call with a higher fencing token. Until then each
+such call may extend the lease once more, just before it expires.
 """
 
-#: The lease is not extended once the last answer is older than this; the worker may
-#: be gone.
-_MAX_ANSWER_AGE_MS = 800
+import dataclasses
+
 #: A worker's clock may run slow by up to this factor.
 _SLOW_CLOCK_FACTOR = 1.02
 #: The estimate of the worker's clock may be ahead by this much, as it is slow.
@@ -16,6 +19,19 @@
 _END_MARGIN_MS = 100
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Extension:
+    """An extension of the lease that a call contains.
+
+    Attributes:
+      until_ms: An integer, the end of the lease on the worker's clock.
+      token: An integer, the fencing token of the call.
+    """
+
+    until_ms: int
+    token: int
+
+
 class WorkerLease:
     """The lease of one incarnation of a worker."""
 
@@ -26,6 +42,7 @@
         "_expires_ms",
         "_extended_ms",
         "_lease_ms",
+        "_open",
     )
 
     def __init__(self, lease_ms, now_ms):
@@ -40,10 +57,17 @@
         self._extended_ms = now_ms
         self._clock_ms = None
         self._clock_read_ms = now_ms
+        # The Extensions whose calls have no answer and are not void.
+        self._open = []
         # When it has expired at the latest; an earlier incarnation of this agent may
         # have extended it.
         self._expires_ms = now_ms + _longest_ms(lease_ms)
 
+    @property
+    def open_extensions(self):
+        """Return the number of extensions that may still be executed."""
+        return len(self._open)
+
     def ages_ms(self, now_ms):
         """Return the ages of the last answer and of the last extension.
 
@@ -66,33 +90,47 @@
             self._clock_ms = clock_ms
             self._clock_read_ms = now_ms
 
-    def note_answer(self, now_ms):
+    def note_answer(self, now_ms, token):
         """Record that the worker has answered a poll.
 
         Args:
           now_ms: A number, the monotonic clock.
+          token: An integer, the fencing token of the poll.
         """
         self._answered_ms = now_ms
+        self._open = [extension for extension in self._open if extension.token >= token]
+
+    def close(self, extension):
+        """Record that the call of an extension was answered, or was not sent.
+
+        Args:
+          extension: An Extension, or None.
+        """
+        if extension in self._open:
+            self._open.remove(extension)
 
-    def extend(self, now_ms, limit_ms):
+    def extend(self, now_ms, limit_ms, token):
         """Extend the lease with a call that is about to be sent.
 
         Args:
           now_ms: A number, the monotonic clock.
           limit_ms: A number, the time from now within which it must have expired.
+          token: An integer, the fencing token of the call.
 
         Returns:
-          An integer, the end of the lease on the worker's clock, or None when the call
-          must not extend it.
+          An Extension, or None when the call must not extend it.
         """
-        if self._clock_ms is None or now_ms - self._answered_ms > _MAX_ANSWER_AGE_MS:
+        if self._clock_ms is None:
             return None
         lease_ms = min(self._lease_ms, limit_ms / _SLOW_CLOCK_FACTOR - _CLOCK_ERROR_MS)
         if lease_ms <= 0:
             return None
         self._extended_ms = now_ms
         self._expires_ms = max(self._expires_ms, now_ms + _longest_ms(lease_ms))
-        return int(self._clock_ms + now_ms - self._clock_read_ms + lease_ms)
+        until_ms = int(self._clock_ms + now_ms - self._clock_read_ms + lease_ms)
+        extension = Extension(until_ms, token)
+        self._open.append(extension)
+        return extension
 
     def remaining_ms(self, now_ms):
         """Return for how long the worker may go on without another extension.
@@ -108,7 +146,8 @@
         Args:
           now_ms: A number, the monotonic clock.
         """
-        return self.remaining_ms(now_ms) < -_END_MARGIN_MS
+        late_ms = len(self._open) * _longest_ms(self._lease_ms)
+        return self.remaining_ms(now_ms) + late_ms < -_END_MARGIN_MS
 
 
 def _longest_ms(lease_ms):
