Play random faults by seed under load in virtual time

A seed gives the same run each time: the stand-ins keep the order of what the product keeps in sets.

--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -5,7 +5,7 @@
 from behave import given, when
 from features import direct_faults
 
-from jujubeglade.fakes import direct_field, virtual_process
+from jujubeglade.fakes import direct_field, direct_random_faults, virtual_process
 
 
 @given("a field of {entries:d} entries and {workers:d} workers of {cores:d} cores")
@@ -13,6 +13,21 @@
     _open_field(context, entries, workers, cores, 1)
 
 
+@given(
+    "a field of {entries:d} entries and {workers:d} workers of {cores:d} cores "
+    "with seed {seed:d}"
+)
+def step_seeded_field(context, entries, workers, cores, seed):
+    _open_field(context, entries, workers, cores, seed)
+
+
+@when("random faults occur for {seconds:d} s")
+def step_random_faults(context, seconds):
+    context.runner.run(
+        direct_random_faults.random_faults(context.site, context.seed, seconds)
+    )
+
+
 @when('the fault "{name}" occurs')
 def step_fault(context, name):
     context.runner.run(direct_faults.find(name)(context.site))
--- a/packages/bench/src/jujubeglade/fakes/direct_clients.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_clients.py
@@ -14,7 +14,15 @@
 class Request:
     """One request of a client to an entry."""
 
-    __slots__ = ("_answer", "_loop", "_submission", "_task", "host")
+    __slots__ = (
+        "_answer",
+        "_entry",
+        "_host",
+        "_loop",
+        "_process",
+        "_submission",
+        "_task",
+    )
 
     def __init__(self, host, submission):
         """Send the request.
@@ -23,14 +31,18 @@
           host: An EntryHost.
           submission: A Submission.
         """
-        self.host = host
+        self._host = host
+        self._entry = host.entry
+        self._process = host.process
         self._submission = submission
         self._loop = asyncio.get_running_loop()
         # An Outcome; None when the connection broke.
         self._answer = self._loop.create_future()
         self._task = None
-        host.requests.add(self)
+        host.requests[self] = None
         self._deliver(self._begin)
+        if self._process.is_killed:
+            self.break_off()
 
     async def outcome(self):
         """Wait for the answer, until the client's timeout.
@@ -51,12 +63,12 @@
 
     def break_off(self):
         """Break the connection for the client only."""
-        self.host.requests.discard(self)
+        self._host.requests.pop(self, None)
         self._settle(None)
 
     def _deliver(self, function):
         delay_s = clock.seconds(_DELAY_MS)
-        self._loop.call_later(delay_s, self.host.process.receive, function)
+        self._loop.call_later(delay_s, self._process.receive, function)
 
     def _begin(self):
         """Pass the request to the entry; runs in its process."""
@@ -67,9 +79,8 @@
             self._task.cancel()
 
     async def _run(self):
-        entry = self.host.entry
-        outcome = await entry.submit(self._submission, direct_site.ROUTE)
-        self.host.requests.discard(self)
+        outcome = await self._entry.submit(self._submission, direct_site.ROUTE)
+        self._host.requests.pop(self, None)
         self._settle(outcome)
 
     def _settle(self, outcome):
--- a/packages/bench/src/jujubeglade/fakes/direct_field.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_field.py
@@ -38,8 +38,8 @@
         self.zone = zone
         self.process = None
         self.entry = None
-        #: The open Requests.
-        self.requests = set()
+        #: The open Requests, in order; the values are None.
+        self.requests = {}
 
 
 class AgentHost:
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -42,6 +42,16 @@
         """Do nothing."""
 
 
+class _OrderedSet(dict):
+    """A set in the order of insertion, so that a seed gives the same run each time."""
+
+    __slots__ = ()
+
+    def add(self, item):
+        """Add an item."""
+        self[item] = None
+
+
 class SimulatedEntry(entry.Entry):
     """An entry without ports or a store."""
 
@@ -57,6 +67,7 @@
         super().__init__(_settings(name, zone, None), clock)
         self.process = process
         self._registration = _Registration()
+        self._dispatcher._scheduler._grown_workers = _OrderedSet()
 
     @property
     def identity(self):
@@ -123,6 +134,12 @@
         self._spawn(self._tick())
         self._dial_entries()
 
+    def _dial_entries(self):
+        """Dial the entries in their order, which a set of addresses doesn't keep."""
+        addresses = self._cluster_state.members.addresses
+        for count in range(len(addresses) + 1):
+            self._dialer.follow(addresses[:count])
+
     async def dial(self, address, connect_ms):
         """Open a link to an entry; see `Agent.dial`."""
         if self.process.is_killed:
