Keep a failing case: an end of an earlier submission taken for the current attempt's

A client submits a job again at the same entry, where its runs count from 1 again. The agent keeps the last 512 Ended messages of an owner and sends them with each Roster. After a worker's crash that worker takes run 1 again; when the link is then reset, the entry takes the Ended of the earlier run 1 for that of the current one and places the task elsewhere.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -39,3 +39,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "a start is refused as a duplicate while the first run is being stopped" occurs
     Then no worker recorded a violation
+
+  Scenario: The end of an earlier submission's attempt isn't taken for the end of the current one
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a link is reset after a worker has crashed between two submissions" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -142,6 +142,24 @@
     await asyncio.sleep(3)
 
 
+@fault("a link is reset after a worker has crashed between two submissions")
+async def repeat_ended(site):
+    """Submit a job to entry 0 twice, crash worker 0 between, then reset its link."""
+    submission = await _submit_to_first(site)
+    for request in list(site.entries[0].requests):
+        request.reset()
+    await asyncio.sleep(0.2)
+    site.agents[0].worker.crash()
+    _drain(site.agents[1].worker, draining=True)
+    await asyncio.sleep(direct_clients.RESUBMIT_DELAY_MS / 1000)
+    direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(0.1)
+    _drain(site.agents[1].worker, draining=False)
+    await asyncio.sleep(0.1)
+    site.network.pair("worker-0", "entry-0").reset()
+    await asyncio.sleep(3)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
