Name a step of the platform feature apart from an older one

The step 'the client gets 200' took the lines of the older step 'the client gets N' with it, so that five scenarios on requests that can't be served ended with an error. They pass again, unchanged.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -124,7 +124,7 @@
     When a client submits 16 tasks of 1 cores for 50 ms to entry 0
     And a client submits 1 tasks of 1 cores for 2000 ms to entry 0 and waits 200 ms
     And every open connection to worker 0 goes silent
-    Then the client gets 200
+    Then the waiting client gets 200
     And the task has run once
 
   Scenario: A task is stopped before its client submits it again though open connections to the worker are silent
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -142,7 +142,7 @@
     context.request.cancel()
 
 
-@then("the client gets 200")
+@then("the waiting client gets 200")
 def step_answered(context):
     reply = context.runner.run(_result(context.request))
     assert reply.status == 200, reply
