Ignore repeated ends of attempts that the roster lists as running

Callers: a task of a job that was submitted a second time to the same entry ran twice.

Cause: a roster repeats the ends of the owner's earlier attempts. A second submission of a job counts its attempts from 1 again, and a worker that has restarted since takes them. The entry took the end of the earlier attempt 1 for that of the current one, and placed the task on another worker. A repeated 'done' would have completed the job falsely.

Evidence: features/direct_faults.feature, 'The end of an earlier submission's attempt isn't taken for the end of the current one', failed before: on worker-0 from 3303 ms until 5803 ms (done), on worker-1 from 3556 ms. In the log: 'attempt repeated after=stopped' while the roster listed the same attempt.

Why it works: the roster says both what runs and what has ended. An attempt that runs has not ended; the end that is repeated is another one's. Ruled out: counting attempts across submissions, as an entry keeps nothing of an answered job.

--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -151,7 +151,7 @@
     await asyncio.sleep(0.2)
     site.agents[0].worker.crash()
     _drain(site.agents[1].worker, draining=True)
-    await asyncio.sleep(direct_clients.RESUBMIT_DELAY_MS / 1000)
+    await asyncio.sleep(direct_site.RESUBMIT_DELAY_MS / 1000)
     direct_clients.Request(site.entries[0], submission)
     await asyncio.sleep(0.1)
     _drain(site.agents[1].worker, draining=False)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -392,9 +392,11 @@
 
     def _handle_roster(self, worker, roster):
         """Process what happened to attempts while the link was down."""
-        for ended in roster.ended:
-            self._handle_ended(worker, ended)
         listed = set(roster.attempts)
+        for ended in roster.ended:
+            # The end of an earlier submission's attempt may have the same task and run.
+            if (ended.task, ended.run) not in listed:
+                self._handle_ended(worker, ended)
         held = {(task.name, task.run) for task in worker.assigned_tasks.values()}
         _log.info(
             "roster received",
