End attempts by the worker's answers, not by messages about the worker

Callers: tasks were started elsewhere while their worker still ran them, after the agent had got a leave of an earlier incarnation of the worker, a late report, or one of another writer.

Cause: a leave, and a report of an incarnation that may be a later one, ended all listed attempts at once, with no word of the worker that ran them. A leave names no incarnation. The start times in reports are from a clock that may be set back, or may be missing.

Why it works: such a message only stops new starts. The polls, which go on every 200 ms, then tell: another incarnation answers, the address refuses connections after a leave, or the lease expires. If the same incarnation goes on answering, a reported successor is ignored, and its own next report takes a leave back. A crash is noticed at the next poll, which is some 50 ms later than its first report.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -68,6 +68,22 @@
       | 400 | 900  |
       | 600 | 700  |
 
+  Scenario Outline: A message about the worker ends no attempt that the worker still runs
+    Given a site of 1 entries and 2 workers of 16 cores
+    When entry 0 gets a job of 6 tasks of 4 cores for 2500 ms
+    And 110 ms pass on the site
+    And agent 0 gets <message>
+    And 3000 ms pass on the site
+    Then job 0 is completed within 3000 ms
+    And no worker recorded a violation
+
+    Examples:
+      | message                                 |
+      | a leave of its worker                   |
+      | a report of another worker              |
+      | a report without a start time           |
+      | a report of a later start of its worker |
+
   Scenario Outline: Polls that a worker executes late do not keep runs alive that count as lapsed
     Given a site of 1 entries and 2 workers of 16 cores with seed <seed>
     And worker 0 executes 50 % of the polls late, which extends its lease then
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -1,11 +1,19 @@
 """Steps for links of direct jobs that break and are replaced on a simulated site."""
 
 import asyncio
+import dataclasses
 
 from behave import given, when
 
+from jujubeglade.direct import worker
 from jujubeglade.fakes import direct_site
 
+#: The names and start times of incarnations that do not run; "" is the worker's name.
+_FOREIGN_INSTANCES = {
+    "a report of another worker": ("other", 99),
+    "a report without a start time": ("other", 0),
+    "a report of a later start of its worker": ("", 99),
+}
 #: The shortest and the longest delay of late calls.
 _LATE_MS = (2000, 12_000)
 
@@ -24,6 +32,11 @@
     context.runner.run(_submit_again(context, index, entry, ms))
 
 
+@when("agent {index:d} gets {message}")
+def step_message(context, index, message):
+    context.runner.run(_receive(context.site.nodes[index], message))
+
+
 @when("agent {index:d} is lost")
 def step_lose_agent(context, index):
     context.runner.run(context.site.lose_agent(index))
@@ -117,6 +130,15 @@
     await asyncio.sleep(0)
 
 
+async def _receive(node, message):
+    if message == "a leave of its worker":
+        node.runner.on_left(node.worker.name)
+        return
+    name, started_ms = _FOREIGN_INSTANCES[message]
+    instance = worker.Instance(name or node.worker.name, started_ms)
+    node.runner.on_report(dataclasses.replace(node.runner.report, instance=instance))
+
+
 async def _lose_stops(worker, ms):
     worker.lost_stop_share = 1.0
     loop = asyncio.get_running_loop()
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -94,6 +94,9 @@
         "_token",
         "_unconfirmed_until_ms",
         "_instance_known",
+        "_has_left",
+        "_successor",
+        "_successor_reported_ms",
         "leaving",
     )
 
@@ -137,6 +140,12 @@
         self._instance = None
         # The most recent instance, which may be gone.
         self._last_instance = None
+        # Whether the worker has sent that it leaves.
+        self._has_left = False
+        # The report of an incarnation that may have replaced the current one, and when
+        # it arrived. No report ends an attempt: it may be late, or another writer's.
+        self._successor = None
+        self._successor_reported_ms = 0.0
         self._report = None
         self._lease = None
         self._cursor = 0
@@ -298,12 +307,15 @@
                     worker=report.instance.name,
                 )
                 return
-            self._lose_instance("another incarnation reports")
+            if self._instance is not None:
+                self._note_successor(report)
+                return
             self._adopt_instance(report)
         elif report.sequence <= self._report.sequence:
             return
         elif report.draining and not self._report.draining:
             _log.info("worker draining", worker=report.instance.name)
+        self._has_left = False
         self._report = report
         if report.sequence != report_cache.STORED_SEQUENCE:
             self._unconfirmed_until_ms = math.inf
@@ -313,11 +325,15 @@
     def on_left(self, name):
         """Handle the departure of the worker.
 
+        It may run on for a moment, and the message may be of an earlier incarnation. So
+        its attempts end when it can't be reached any more, or its lease has expired.
+
         Args:
           name: A string, the worker's id.
         """
         if self._instance is not None and self._instance.name == name:
-            self._lose_instance("worker has left")
+            _log.info("worker leaves", worker=name)
+            self._has_left = True
             self._announcer.on_state_change()
 
     async def run(self):
@@ -337,6 +353,8 @@
         """Return the Refusal of all attempts now; None when attempts may start."""
         if self._instance is None or not self._clean or not self._responsive:
             return contract.Refusal.NO_WORKER
+        if self._has_left or self._successor is not None:
+            return contract.Refusal.NO_WORKER
         if self._clock.now_ms() > self._unconfirmed_until_ms:
             return contract.Refusal.NO_WORKER
         if self._foreign:
@@ -422,8 +440,9 @@
             self._drop_unstarted(attempt, contract.Refusal.OWNER_UNHEARD)
             return
         lease = self._lease
-        extension = self._extend_lease(now_ms)
-        if extension is None or self._instance is None:
+        has_worker = self._instance is not None and not self._has_left
+        extension = self._extend_lease(now_ms) if has_worker else None
+        if extension is None:
             self._drop_unstarted(attempt, contract.Refusal.NO_WORKER)
             return
         attempt.token = self._token
@@ -556,8 +575,7 @@
             return
         if reply.started_ms and instance.started_ms not in (0, reply.started_ms):
             # The worker has restarted under the same name.
-            self._lose_instance("another incarnation answers")
-            self._announcer.on_state_change()
+            self._replace_instance("another incarnation answers")
             return
         self._lease.note_clock(reply.clock_ms, self._clock.now_ms())
         if reply.answer is worker.Answer.UNKNOWN:
@@ -565,6 +583,7 @@
             # from the next answer on.
             self._raise_token(target.token + 1)
         if reply.answer is worker.Answer.OK:
+            self._drop_successor(sent_ms)
             self._apply(reply, sent_ms, target.token)
             if not self._clean:
                 await asyncio.sleep(clock.seconds(_POLL_RETRY_MS))
@@ -572,8 +591,10 @@
         if reply.answer is worker.Answer.FENCED:
             self._pass_fence(target.token)
         elif reply.answer is worker.Answer.OTHER_INSTANCE:
-            self._lose_instance("another incarnation answers")
-            self._announcer.on_state_change()
+            self._replace_instance("another incarnation answers")
+            return
+        elif reply.answer is worker.Answer.UNREACHABLE and self._has_left:
+            self._replace_instance("worker has left")
             return
         self._note_silent(reply.answer)
         await asyncio.sleep(clock.seconds(_POLL_RETRY_MS))
@@ -651,6 +672,8 @@
         for attempt in list(self._attempts.values()):
             if attempt.phase is attempt_.Phase.RUNNING:
                 self._end(attempt, contract.End.LAPSED)
+        if self._has_left or self._successor is not None:
+            self._replace_instance("worker silent")
 
     def _log_lapse(self, now_ms):
         """Log what the conclusion rests on that the worker lease has expired."""
@@ -666,6 +689,31 @@
             token=self._token,
         )
 
+    def _note_successor(self, report):
+        """Ask the current incarnation whether another one has replaced it."""
+        if self._successor is None:
+            _log.info("another incarnation reports", worker=report.instance.name)
+            self._successor_reported_ms = self._clock.now_ms()
+            self._announcer.on_state_change()
+        self._successor = report
+
+    def _drop_successor(self, sent_ms):
+        """Ignore the reported successor of an incarnation that still answers."""
+        if self._successor is None or sent_ms < self._successor_reported_ms:
+            return
+        _log.info("report ignored", worker=self._successor.instance.name)
+        self._successor = None
+        self._announcer.on_state_change()
+
+    def _replace_instance(self, cause):
+        """Give up the current incarnation, and adopt its successor if there is one."""
+        self._lose_instance(cause)
+        successor = self._successor
+        self._successor = None
+        if successor is not None:
+            self.on_report(successor)
+        self._announcer.on_state_change()
+
     def _follows(self, instance):
         """Return whether an instance may have started after the current one."""
         if self._instance is None or not instance.started_ms:
@@ -704,6 +752,7 @@
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
         self._past_instances.add(self._instance)
         self._instance = None
+        self._has_left = False
         self._foreign.clear()
         for attempt in list(self._attempts.values()):
             if attempt.is_listed:
