Log the listed attempts that no open job waits for

The field 'unknown' of the line 'roster received' left out attempts of answered jobs, which an entry keeps until they have ended. It is 'unwanted' now, and has what the entry halts.

--- a/features/direct_logs.feature
+++ b/features/direct_logs.feature
@@ -28,7 +28,7 @@
     And the log is recorded
     When entry 0 gets a job of 1 tasks of 4 cores for 2500 ms
     And the links of entry 0 break while the client of job 0 leaves
-    Then the log has "roster received" with listed "1"
+    Then the log has "roster received" with unwanted "0000000000000001.0.0/1"
 
   Scenario: The log tells that an attempt came from an owner that had been silent
     Given a site of 1 entries and 1 workers of 16 cores
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -140,10 +140,10 @@
 
 @_mutant("a halt that was lost with its link is repeated")
 def _halt_once():
-    def halt_unwanted(self, worker, listed):
+    def halt_all(self, worker, attempts):
         pass
 
-    return ((dispatcher.Dispatcher, "_halt_unwanted", halt_unwanted),)
+    return ((dispatcher.Dispatcher, "_halt_all", halt_all),)
 
 
 @_mutant("a dropped owner is kept until its attempts have ended")
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -397,33 +397,29 @@
             # The end of an earlier submission's attempt may have the same task and run.
             if (ended.task, ended.run) not in listed:
                 self._handle_ended(worker, ended)
-        held = {(task.name, task.run) for task in worker.assigned_tasks.values()}
+        assigned = {(task.name, task.run) for task in worker.assigned_tasks.values()}
+        unwanted = listed - _awaited(worker)
         _log.info(
             "roster received",
             worker=worker.identity.name,
             listed=len(listed),
             ended=len(roster.ended),
-            unknown=_texts(listed - held),
-            missing=_texts(held - listed),
+            unwanted=_texts(unwanted),
+            missing=_texts(assigned - listed),
         )
         for task in list(worker.assigned_tasks.values()):
             if (task.name, task.run) not in listed:
                 self._release(worker, task)
                 self._requeue(task)
-        self._halt_unwanted(worker, listed)
+        self._halt_all(worker, unwanted)
 
-    def _halt_unwanted(self, worker, listed):
-        """Stop the listed attempts that no job waits for.
+    def _halt_all(self, worker, attempts):
+        """Stop attempts that an agent lists and that no job waits for.
 
         A Halt may have been lost with the previous link, and the task of a worker that
         counted as gone may have been sent elsewhere.
         """
-        wanted = {
-            (task.name, task.run)
-            for task in worker.assigned_tasks.values()
-            if not task.job.answer.done()
-        }
-        for name, run in listed - wanted:
+        for name, run in attempts:
             worker.halt(name, run)
 
     def _release_current(self, worker, name, run):
@@ -524,6 +520,19 @@
         )
 
 
+def _awaited(worker):
+    """Return the attempts on a worker whose end an open job waits for.
+
+    Returns:
+      A set of pairs of a TaskName and a run.
+    """
+    return {
+        (task.name, task.run)
+        for task in worker.assigned_tasks.values()
+        if not task.job.answer.done()
+    }
+
+
 def _texts(attempts):
     """Write pairs of a TaskName and a run as one text for the log."""
     return " ".join(sorted(f"{name}/{run}" for name, run in attempts))
