Stop attempts of this agent and of its predecessor in the same way

An agent that had restarted still repeated a stop each 220 ms when no answer came: the loop stood twice, and only one of the two had been changed. Both use stops.repeat now. It also pauses after an answer other than an accepted stop, such as a refused connection; the loop for the agent's own attempts called again without a pause then. Tests: features/direct_links.feature and direct_faults.feature, unchanged.

--- a/packages/dispatch/src/jujubeglade/direct/foreign_attempts.py
+++ b/packages/dispatch/src/jujubeglade/direct/foreign_attempts.py
@@ -6,12 +6,8 @@
 lists them.
 """
 
-import asyncio
-
-from jujubeglade.core import clock, log
-
-#: A stop is repeated after this time until the worker no longer lists the attempt.
-_STOP_RETRY_MS = 120
+from jujubeglade.core import log
+from jujubeglade.direct import stops
 
 _log = log.get(__name__)
 
@@ -27,7 +23,7 @@
         Args:
           background: A Background, for the tasks that stop them.
           stop: A coroutine function of a pair of a TaskName and a run that asks the
-            worker once to stop this attempt.
+            worker once to stop this attempt, and returns its Answer.
         """
         self._background = background
         self._stop = stop
@@ -51,14 +47,18 @@
         for key in listed_keys - self._keys:
             _log.warning("unknown attempt stopped", task=key[0], run=key[1])
             self._keys.add(key)
-            self._background.spawn(self._stop_until_gone(key))
+            self._stop_until_gone(key)
         return have_ended
 
     def clear(self):
         """Remove all attempts, as the incarnation of the worker has ended."""
         self._keys.clear()
 
-    async def _stop_until_gone(self, key):
-        while key in self._keys:
-            await self._stop(key)
-            await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
+    def _stop_until_gone(self, key):
+        self._background.spawn(
+            stops.repeat(
+                lambda: self._stop(key),
+                lambda: key in self._keys,
+                self._background,
+            )
+        )
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -30,6 +30,7 @@
     foreign_attempts,
     held_begins,
     report_cache,
+    stops,
     worker,
     worker_lease,
 )
@@ -41,10 +42,6 @@
 #: attempts and those that this runner has not started have ended.
 _POLL_RETRY_MS = 50
 _SWEEP_INTERVAL_MS = 50
-#: A stop without an answer is repeated after this time, long before its timeout.
-_STOP_OVERLAP_MS = 40
-#: An answered stop is repeated after this time; by then the attempt has usually ended.
-_STOP_RETRY_MS = 120
 #: The worker lease expires this long before a client's next submission can start.
 _RESUBMIT_MARGIN_MS = 50
 #: How long a new instance is relied on before it reports. A worker that is about to
@@ -149,9 +146,7 @@
         self._report = None
         self._lease = None
         self._cursor = 0
-        self._foreign = foreign_attempts.ForeignAttempts(
-            self._background, self._stop_foreign
-        )
+        self._foreign = foreign_attempts.ForeignAttempts(self._background, self._stop)
         self._held = held_begins.HeldBegins()
         # Until when attempts may start although the instance has not reported itself,
         # as its report comes from the store; infinite once it has.
@@ -523,37 +518,33 @@
             cause=cause,
             ran_ms=int(attempt.halted_ms - attempt.started_ms),
         )
-        self._spawn(self._stop(attempt))
+        self._spawn(
+            stops.repeat(
+                lambda: self._stop_attempt(attempt),
+                lambda: self._attempts.get(attempt.task) is attempt,
+                self._background,
+            )
+        )
 
-    async def _stop(self, attempt):
-        """Ask the worker repeatedly to stop an attempt until it has ended.
+    async def _stop_attempt(self, attempt):
+        """Ask the worker once to stop an attempt, and return its Answer."""
+        attempt.stop_calls += 1
+        return await self._stop(attempt.key)
 
-        Calls overlap: the answer to one may be lost, which shows only at its timeout.
-        """
-        while self._attempts.get(attempt.task) is attempt:
-            if self._instance is None:
-                await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
-                continue
-            call = self._spawn(self._stop_once(attempt))
-            done, _ = await asyncio.wait(
-                (call,), timeout=clock.seconds(_STOP_OVERLAP_MS)
-            )
-            if done and call.result() is worker.Answer.OK:
-                await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
+    async def _stop(self, key):
+        """Ask the worker once to stop an attempt, and return its Answer.
 
-    async def _stop_once(self, attempt):
-        """Ask the worker to stop an attempt, and return its Answer."""
+        Args:
+          key: A pair of a TaskName and a run.
+        """
+        if self._instance is None:
+            return worker.Answer.UNREACHABLE
         target = worker.Target(self._instance, self._token)
-        attempt.stop_calls += 1
-        reply = await self._worker_client.stop(target, attempt.task, attempt.run)
+        reply = await self._worker_client.stop(target, *key)
         if reply.answer is worker.Answer.FENCED:
             self._pass_fence(target.token)
         return reply.answer
 
-    async def _stop_foreign(self, key):
-        """Ask the worker once to stop an attempt that this runner has not started."""
-        await self._worker_client.stop(worker.Target(self._instance, self._token), *key)
-
     async def _poll_once(self):
         """Poll the worker, renew its lease, and handle the reply."""
         instance = self._instance
