Keep which incarnation of the worker is current in a module of its own

Seven of its attributes told only which incarnation of the worker is current, which ones are gone and which one may follow; they are a class with methods now. No decision changes; features/direct*.feature pass unchanged.

--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -29,6 +29,7 @@
     contract,
     foreign_attempts,
     held_begins,
+    incarnations,
     report_cache,
     stops,
     worker,
@@ -76,24 +77,19 @@
         "_cursor",
         "_foreign",
         "_held",
-        "_last_instance",
         "_lease",
         "_lease_ms",
         "_resubmit_ms",
-        "_instance",
+        "_incarnations",
         "_metrics",
         "_is_evacuated",
         "_worker_client",
         "_report",
         "_responsive",
         "_unanswered_polls",
-        "_past_instances",
         "_token",
         "_unconfirmed_until_ms",
         "_instance_known",
-        "_has_left",
-        "_successor",
-        "_successor_reported_ms",
         "leaving",
     )
 
@@ -131,18 +127,8 @@
         self._background = background.new_background()
         self._capacity = capacity.new_capacity()
         self._instance_known = asyncio.Event()
-        # Instances that are gone; late reports of them are ignored.
-        self._past_instances = set()
+        self._incarnations = incarnations.Incarnations()
         self._token = clock.wall_ms()
-        self._instance = None
-        # The most recent instance, which may be gone.
-        self._last_instance = None
-        # Whether the worker has sent that it leaves.
-        self._has_left = False
-        # The report of an incarnation that may have replaced the current one, and when
-        # it arrived. No report ends an attempt: it may be late, or another writer's.
-        self._successor = None
-        self._successor_reported_ms = 0.0
         self._report = None
         self._lease = None
         self._cursor = 0
@@ -160,6 +146,11 @@
         self._unanswered_polls = 0
         self.leaving = False
 
+    @property
+    def _instance(self):
+        """Return the current Instance; None without a worker."""
+        return self._incarnations.current
+
     @property
     def running(self):
         """Return the number of attempts that may still run."""
@@ -293,10 +284,8 @@
         Args:
           report: A Report.
         """
-        if report.instance in self._past_instances:
-            return
         if report.instance != self._instance:
-            if not self._follows(report.instance):
+            if not self._incarnations.may_follow(report.instance):
                 _log.info(
                     "report of an earlier incarnation ignored",
                     worker=report.instance.name,
@@ -310,7 +299,7 @@
             return
         elif report.draining and not self._report.draining:
             _log.info("worker draining", worker=report.instance.name)
-        self._has_left = False
+        self._incarnations.note_report()
         self._report = report
         if report.sequence != report_cache.STORED_SEQUENCE:
             self._unconfirmed_until_ms = math.inf
@@ -328,7 +317,7 @@
         """
         if self._instance is not None and self._instance.name == name:
             _log.info("worker leaves", worker=name)
-            self._has_left = True
+            self._incarnations.note_leave()
             self._announcer.on_state_change()
 
     async def run(self):
@@ -348,7 +337,7 @@
         """Return the Refusal of all attempts now; None when attempts may start."""
         if self._instance is None or not self._clean or not self._responsive:
             return contract.Refusal.NO_WORKER
-        if self._has_left or self._successor is not None:
+        if self._incarnations.is_doubtful:
             return contract.Refusal.NO_WORKER
         if self._clock.now_ms() > self._unconfirmed_until_ms:
             return contract.Refusal.NO_WORKER
@@ -435,7 +424,7 @@
             self._drop_unstarted(attempt, contract.Refusal.OWNER_UNHEARD)
             return
         lease = self._lease
-        has_worker = self._instance is not None and not self._has_left
+        has_worker = self._instance and not self._incarnations.has_left
         extension = self._extend_lease(now_ms) if has_worker else None
         if extension is None:
             self._drop_unstarted(attempt, contract.Refusal.NO_WORKER)
@@ -584,7 +573,7 @@
         elif reply.answer is worker.Answer.OTHER_INSTANCE:
             self._replace_instance("another incarnation answers")
             return
-        elif reply.answer is worker.Answer.UNREACHABLE and self._has_left:
+        elif reply.answer is worker.Answer.UNREACHABLE and self._incarnations.has_left:
             self._replace_instance("worker has left")
             return
         self._note_silent(reply.answer)
@@ -663,7 +652,7 @@
         for attempt in list(self._attempts.values()):
             if attempt.phase is attempt_.Phase.RUNNING:
                 self._end(attempt, contract.End.LAPSED)
-        if self._has_left or self._successor is not None:
+        if self._incarnations.is_doubtful:
             self._replace_instance("worker silent")
 
     def _log_lapse(self, now_ms):
@@ -682,35 +671,25 @@
 
     def _note_successor(self, report):
         """Ask the current incarnation whether another one has replaced it."""
-        if self._successor is None:
+        if self._incarnations.note_successor(report, self._clock.now_ms()):
             _log.info("another incarnation reports", worker=report.instance.name)
-            self._successor_reported_ms = self._clock.now_ms()
             self._announcer.on_state_change()
-        self._successor = report
 
     def _drop_successor(self, sent_ms):
         """Ignore the reported successor of an incarnation that still answers."""
-        if self._successor is None or sent_ms < self._successor_reported_ms:
-            return
-        _log.info("report ignored", worker=self._successor.instance.name)
-        self._successor = None
-        self._announcer.on_state_change()
+        ignored = self._incarnations.note_answer(sent_ms)
+        if ignored is not None:
+            _log.info("report ignored", worker=ignored.instance.name)
+            self._announcer.on_state_change()
 
     def _replace_instance(self, cause):
         """Give up the current incarnation, and adopt its successor if there is one."""
         self._lose_instance(cause)
-        successor = self._successor
-        self._successor = None
+        successor = self._incarnations.take_successor()
         if successor is not None:
             self.on_report(successor)
         self._announcer.on_state_change()
 
-    def _follows(self, instance):
-        """Return whether an instance may have started after the current one."""
-        if self._instance is None or not instance.started_ms:
-            return True
-        return instance.started_ms >= self._instance.started_ms
-
     def _adopt_instance(self, report):
         _log.info(
             "worker reports",
@@ -718,9 +697,8 @@
             service=report.service,
             cpu=report.total.cpu,
         )
-        self._drop_starts_if_renamed(self._last_instance, report.instance)
-        self._last_instance = report.instance
-        self._instance = report.instance
+        self._drop_starts_if_renamed(self._incarnations.last, report.instance)
+        self._incarnations.adopt(report.instance)
         self._lease = worker_lease.new_worker_lease(
             self._lease_ms, self._clock.now_ms()
         )
@@ -741,9 +719,7 @@
         if self._instance is None:
             return
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
-        self._past_instances.add(self._instance)
-        self._instance = None
-        self._has_left = False
+        self._incarnations.lose()
         self._foreign.clear()
         for attempt in list(self._attempts.values()):
             if attempt.is_listed:
