Give an owner that is reached again time for its first echo

An owner whose link had been lost for some time counted as lost again at once when it was reached, as its last echo was too old: its attempts were stopped although it had come back within the silence timeout, and its link was closed once more.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -19,6 +19,14 @@
     And 1500 ms pass on the site
     Then no worker recorded a violation
 
+  Scenario: An entry that is reached again after a long break is given time for an echo
+    Given a site of 1 entries and 3 workers of 16 cores
+    When entry 0 gets a job of 6 tasks of 4 cores for 2500 ms
+    And 110 ms pass on the site
+    And the last echo of entry 0 at agent 0 is 950 ms old
+    And agent 0 reaches entry 0 again
+    Then job 0 is completed within 2600 ms
+
   Scenario: A task that still runs for another entry waits at the agent until that has ended
     Given a site of 2 entries and 2 workers of 16 cores
     When worker 1 reports that it drains
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -93,6 +93,13 @@
     context.runner.run(_lose_stops(context.site.nodes[index].worker, ms))
 
 
+@when("the last echo of entry {entry:d} at agent {index:d} is {ms:d} ms old")
+def step_old_echo(context, entry, index, ms):
+    identity, _ = context.site.entries[entry]
+    owner = context.site.nodes[index].owners[identity.incarnation]
+    owner.alive_ms = context.site.clock.elapsed_ms() - ms
+
+
 @when("agent {index:d} reaches entry {entry:d} again")
 def step_reach_again(context, index, entry):
     context.runner.run(_reach_again(context.site, index, entry))
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -16,8 +16,8 @@
 
 #: The number of Ended messages kept for an owner, in case its link has failed.
 _MAX_ENDED = 512
-#: An owner whose latest echo is older than this counts as lost. The worker lease ends
-#: soon after, with all that runs there.
+#: An owner whose latest echo is older than this counts as lost, if its link is too.
+#: The worker lease ends soon after, with all that runs there.
 _MAX_ECHO_AGE_MS = 900
 
 
@@ -27,6 +27,7 @@
     __slots__ = (
         "_ended",
         "_link",
+        "_linked_ms",
         "alive_ms",
         "last_begin",
         "last_received_ms",
@@ -56,6 +57,7 @@
         #: By when it needs room, on the monotonic clock; infinite if it needs none.
         self.room_needed_by_ms = math.inf
         self._link = link
+        self._linked_ms = now_ms
         self._ended = collections.deque(maxlen=_MAX_ENDED)
 
     @property
@@ -76,6 +78,7 @@
           now_ms: A number, the clock that also counts while the VM is suspended.
         """
         self._link = link
+        self._linked_ms = now_ms
         self.last_received_ms = now_ms
         self.last_begin = 0
         self.known_revisions = (0, 0)
@@ -98,7 +101,7 @@
         """
         if now_ms - self.last_received_ms > contract.SILENCE_TIMEOUT_MS:
             return True
-        return self.alive_ms > 0 and now_ms - self.alive_ms > _MAX_ECHO_AGE_MS
+        return now_ms - max(self.alive_ms, self._linked_ms) > _MAX_ECHO_AGE_MS
 
     def note_echo(self, echo_ms):
         """Record an echo of a time of this agent.
