Leave the lease of an idle worker alone

Callers: behind links with a round trip of 400 ms, jobs of a healthy entry were not started: 4 of 10 were done in time.

Cause: polls extended the lease of a worker on which nothing ran. A start is refused when the lease in force outlives what its owner is known to be alive for, and an idle worker's lease was always new.

Evidence: 'A slow link refuses no task of an owner that is alive' failed before with 4 of 10 jobs completed; all 10 are now. The mutant for attempts that the agent has not started has to extend the lease in any case now, as a third rule prevents the same violation.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -44,3 +44,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "a link is reset after a worker has crashed between two submissions" occurs
     Then no worker recorded a violation
+
+  Scenario: A slow link refuses no task of an owner that is alive
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "the links to entry 0 are slow by 200 ms" occurs
+    Then 10 jobs are completed
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -190,3 +190,20 @@
     """Have a worker report that it drains, or that it doesn't."""
     worker.draining = draining
     worker.report()
+
+
+@fault("the links to entry 0 are slow by 200 ms")
+async def slow_links(site):
+    """Delay all messages of entry 0, which gets ten jobs in 4 s."""
+    for host in site.agents:
+        site.network.pair(host.name, "entry-0").set_delay(200)
+    await asyncio.sleep(2)
+    clients = []
+    for _ in range(10):
+        submission = site.submission(1, 1000, 200, 3000)
+        client = direct_clients.run(site, submission, site.entries[0])
+        clients.append(asyncio.create_task(client))
+        await asyncio.sleep(0.37)
+    await asyncio.sleep(3)
+    for client in clients:
+        client.cancel()
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -41,6 +41,10 @@
     return math.inf
 
 
+def _extend_always(self, now_ms):
+    return self._lease.extend(now_ms, math.inf, self._token)
+
+
 @_mutant("a lost agent's tasks are repeated only when they can't run any more")
 def _repeat_at_once():
     def gone(self, now_ms):
@@ -74,7 +78,7 @@
 
     return (
         (runner.Runner, "_apply", apply),
-        (runner.Runner, "_lease_limit_ms", _unlimited_lease),
+        (runner.Runner, "_extend_lease", _extend_always),
     )
 
 
--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from behave import given, when
+from behave import given, then, when
 from features import direct_faults
 
 from jujubeglade.fakes import direct_field, direct_random_faults, virtual_process
@@ -33,6 +33,11 @@
     context.runner.run(direct_faults.find(name)(context.site))
 
 
+@then("{count:d} jobs are completed")
+def step_completed(context, count):
+    assert len(context.site.witness.done) == count, context.site.witness.done
+
+
 def _open_field(context, entries, workers, cores, seed):
     context.runner = asyncio.Runner(loop_factory=virtual_process.ProcessLoop)
     context.seed = seed
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -396,7 +396,13 @@
         return limit_ms - self._clock.elapsed_ms()
 
     def _extend_lease(self, now_ms):
-        """Return the Extension of the lease for a call that is sent now, or None."""
+        """Return the Extension of the lease for a call that is sent now, or None.
+
+        While nothing runs, the lease isn't extended; it would outlive the owner of the
+        next attempt.
+        """
+        if not self._attempts:
+            return None
         limit_ms = self._lease_limit_ms(self._attempts.values())
         return self._lease.extend(now_ms, limit_ms, self._token)
 
