Accept a worker again that was given up without proof of its end

Callers: after a late leave, or a report of another writer, and four seconds of silence, a worker that came back got no more work for good.

Cause: an incarnation that was given up in silence counted among those that have ended, whose reports are ignored.

Evidence: 'A worker that was given up in silence after a leave takes work again once it reports' failed before: refused, 'late before it could start'. It passes now.

Why it works: only an answer of another incarnation proves the end of one. A late report of a worker that is gone may be adopted now; its first poll is refused by the worker that is there.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -92,6 +92,15 @@
       | a report without a start time           |
       | a report of a later start of its worker |
 
+  Scenario: A worker that was given up in silence after a leave takes work again once it reports
+    Given a site of 1 entries and 1 workers of 16 cores
+    When agent 0 gets a leave of its worker
+    And worker 0 is silent for 4000 ms
+    And worker 0 reports that it takes work again
+    And 500 ms pass on the site
+    And entry 0 gets a job of 2 tasks of 4 cores for 100 ms
+    Then job 0 is completed within 200 ms
+
   Scenario Outline: Polls that a worker executes late do not keep runs alive that count as lapsed
     Given a site of 1 entries and 2 workers of 16 cores with seed <seed>
     And worker 0 executes 50 % of the polls late, which extends its lease then
--- a/packages/dispatch/src/jujubeglade/direct/incarnations.py
+++ b/packages/dispatch/src/jujubeglade/direct/incarnations.py
@@ -23,7 +23,7 @@
         self._current = None
         # The most recent one, which may be gone.
         self._last = None
-        # Those that are gone; late reports of them are ignored.
+        # Those that have certainly ended; late reports of them are ignored.
         self._past = set()
         self._has_left = False
         # The report of one that may have replaced the current one, and when it arrived.
@@ -70,9 +70,12 @@
         """
         self._current = self._last = instance
 
-    def lose(self):
-        """Record that the current one has ended."""
+    def note_end(self):
+        """Record that the current one has ended, as another one has answered."""
         self._past.add(self._current)
+
+    def lose(self):
+        """Give up the current one; unless it has ended, it may report again."""
         self._current = None
         self._has_left = False
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -37,7 +37,7 @@
 )
 
 #: How long the worker may delay its reply to a poll until an attempt ends. The lease
-#: outlasts two polls without an answer.
+#: outlasts a poll without an answer.
 _POLL_WAIT_MS = 200
 #: The interval of polls while the worker does not answer, and until it has listed its
 #: attempts and those that this runner has not started have ended.
@@ -561,6 +561,7 @@
             return
         if reply.started_ms and instance.started_ms not in (0, reply.started_ms):
             # The worker has restarted under the same name.
+            self._incarnations.note_end()
             self._replace_instance("another incarnation answers")
             return
         self._lease.note_clock(reply.clock_ms, self._clock.now_ms())
@@ -577,6 +578,7 @@
         if reply.answer is worker.Answer.FENCED:
             self._pass_fence(target.token)
         elif reply.answer is worker.Answer.OTHER_INSTANCE:
+            self._incarnations.note_end()
             self._replace_instance("another incarnation answers")
             return
         elif reply.answer is worker.Answer.UNREACHABLE and self._incarnations.has_left:
