Wait for one more lease at most before a worker's lease counts as expired

Callers: tasks on a worker that had gone silent were placed again after 3.4 s with one start under way, 6.8 s with four and 11 s with eight; it had been 2.1 s.

Cause: each call without an answer added a lease to the wait, as if late calls could follow one another, each just before the lease expired. Found by the review.

What remains: two calls that are both executed late within a lease of each other, with their time counted from then, may extend the lease beyond the wait.

--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -5,8 +5,9 @@
 when everything that ran on an unreachable worker has certainly ended.
 
 A call without an answer may be executed late, and its time may count from then. It is
-void once the worker has answered a call with a higher fencing token. Until then each
-such call may extend the lease once more, just before it expires.
+void once the worker has answered a call with a higher fencing token. Until then it may
+extend the lease once more, just before it expires. That several such calls do so one
+after the other, each within a lease, is not allowed for.
 """
 
 import dataclasses
@@ -146,7 +147,7 @@
         Args:
           now_ms: A number, the monotonic clock.
         """
-        late_ms = len(self._open) * _longest_ms(self._lease_ms)
+        late_ms = _longest_ms(self._lease_ms) if self._open else 0
         return self.remaining_ms(now_ms) + late_ms < -_END_MARGIN_MS
 
 
