Note which Rooms were seen before the heartbeat is sent

An owner's echo was one tick of 50 ms older than need be: the heartbeat was sent first. With fresher echoes the worker lease is extended by more. The order has no other effect.

--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -215,10 +215,10 @@
                 self._resume(now_ms - before_ms)
             before_ms = now_ms
             self._abort_silent()
+            self._dispatcher.tick()
             if now_ms - heartbeat_sent_ms >= contract.HEARTBEAT_INTERVAL_MS:
                 heartbeat_sent_ms = now_ms
                 self._dispatcher.send_heartbeats()
-            self._dispatcher.tick()
 
     def _resume(self, gap_ms):
         """Abort all links and jobs after a suspension of this VM.
