Choose a fencing token above that of the agent's earlier incarnation

Callers: after the clock of an agent's VM had been set back, tasks could run twice.

Cause: an agent took its first token from the wall clock. Set back, it is lower than the tokens of the earlier incarnation. A worker refuses it as long as it remembers a higher one; a worker that was reborn under its id remembers none. A start of the earlier incarnation that is executed late then passes the fence, after the entry has placed the task elsewhere.

'A restarted agent's fencing token rises though its clock was set back' in features/platform.feature checks the remedy.

Copies of before are read as having none.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -169,6 +169,12 @@
     Then agents reach entry 0 within 1000 ms
     And a client that submits 1 tasks of 4 cores for 50 ms gets 200
 
+  Scenario: A restarted agent's fencing token rises though its clock was set back
+    Given a platform site of 1 entries and 1 workers
+    When the store has a copy of every worker
+    And agent 0 restarts after its clock was set back by 3600 s
+    Then the worker of agent 0 gets calls with a higher token than before
+
   Scenario: A recalled worker without a report soon gets no more work
     Given a platform site of 1 entries and 1 workers
     When the store has a copy of every worker
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -183,7 +183,24 @@
     instance = worker.Instance("gone", 0)
     total = job.Resources(64_000, 1 << 18, 0)
     report = worker.Report(instance, 1, "parts", (), total, False)
-    _put_copy(context, index, report_cache.pack(report))
+    _put_copy(context, index, report_cache.pack(report, 0))
+
+
+@when("agent {index:d} restarts after its clock was set back by {seconds:d} s")
+def step_set_back(context, index, seconds):
+    former = context.site.agents[index]
+    ahead_ms = int(time.time() * 1000) + seconds * 1000
+    context.token = ahead_ms
+    report = former._runner.report
+    _put_copy(context, index, report_cache.pack(report, ahead_ms))
+    context.runner.run(former.close())
+    context.runner.run(context.site.start_agent(index))
+    _wait(context, 2 * _SETTLE_S)
+
+
+@then("the worker of agent {index:d} gets calls with a higher token than before")
+def step_higher_token(context, index):
+    assert context.site.workers[index].inner.token > context.token
 
 
 @when("the key of agent {index:d}'s worker contains {kind:w} {value}")
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -159,6 +159,11 @@
         """Return the Instance that identifies the current incarnation."""
         return worker.Instance(self.name, self._started_ms)
 
+    @property
+    def token(self):
+        """Return the highest fencing token that it has seen."""
+        return self._token
+
     @property
     def running(self):
         """Return the number of running attempts."""
--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -6,6 +6,9 @@
 report in the store. The copy only identifies the worker: the worker must answer, in the
 same incarnation, before anything starts, and a copy that no report confirms soon is not
 relied on.
+
+The copy also has the agent's fencing token. The next incarnation of the agent chooses a
+higher one even if the wall clock has been set back meanwhile.
 """
 
 import asyncio
@@ -29,11 +32,12 @@
     """A worker's report as stored.
 
     Attributes:
-      name: A string, the worker's own id.
+      name: A string, the worker's own id; empty without a worker to ask.
       started_ms: An integer, when it started.
       service: A string.
       labels: A tuple of strings.
       total: A Resources.
+      token: An integer, the `token_floor` of the agent's Runner.
     """
 
     name: str
@@ -41,21 +45,32 @@
     service: str
     labels: tuple
     total: job.Resources
+    token: int = 0
+
+    def report(self):
+        """Return the Report, older than all of the worker; None without a worker."""
+        if not self.name:
+            return None
+        instance = worker.Instance(self.name, self.started_ms)
+        return worker.Report(
+            instance, STORED_SEQUENCE, self.service, self.labels, self.total, False
+        )
 
 
-def pack(report):
-    """Encode the copy of a report; empty without one or for a draining worker.
+def pack(report, token):
+    """Encode the copy of a report; without a worker if it is None or is draining.
 
     Args:
       report: A Report, or None.
+      token: An integer, the `token_floor` of the agent's Runner.
 
     Returns:
       Bytes.
     """
     if report is None or report.draining:
-        return b""
+        return message.encode(Copy("", 0, "", (), job.NOTHING, token))
     name, started_ms = report.instance.name, report.instance.started_ms
-    copy = Copy(name, started_ms, report.service, report.labels, report.total)
+    copy = Copy(name, started_ms, report.service, report.labels, report.total, token)
     return message.encode(copy)
 
 
@@ -66,7 +81,7 @@
       data: Bytes, which may come from another writer.
 
     Returns:
-      A Report that precedes all reports of that incarnation of the worker, or None.
+      A Copy, or None.
     """
     if not data:
         return None
@@ -74,11 +89,7 @@
     if decoded.is_err() or not isinstance(decoded.ok_value, Copy):
         _log.warning("copy of a worker unreadable", bytes=len(data))
         return None
-    copy = decoded.ok_value
-    instance = worker.Instance(copy.name, copy.started_ms)
-    return worker.Report(
-        instance, STORED_SEQUENCE, copy.service, copy.labels, copy.total, False
-    )
+    return decoded.ok_value
 
 
 class ReportCache:
@@ -105,7 +116,7 @@
         await self._read()
         while True:
             await asyncio.sleep(clock.seconds(_CHECK_INTERVAL_MS))
-            latest = pack(self._runner.report)
+            latest = pack(self._runner.report, self._runner.token_floor)
             if latest != self._stored:
                 await self._write(latest)
 
@@ -119,7 +130,11 @@
             _log.warning("worker not recalled", cause=read.err_value)
             return
         self._stored = read.ok_value.value
-        report = unpack(self._stored)
+        copy = unpack(self._stored)
+        if copy is None:
+            return
+        self._runner.succeed_token(copy.token)
+        report = copy.report()
         if report is not None and self._runner.report is None:
             _log.info("worker recalled", worker=report.instance.name)
             self._runner.on_report(report)
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -88,6 +88,7 @@
         "_responsive",
         "_unanswered_polls",
         "_token",
+        "_token_floor",
         "_unconfirmed_until_ms",
         "_instance_known",
         "leaving",
@@ -129,6 +130,7 @@
         self._instance_known = asyncio.Event()
         self._incarnations = incarnations.Incarnations()
         self._token = clock.wall_ms()
+        self._token_floor = self._token
         self._report = None
         self._lease = None
         self._cursor = 0
@@ -161,6 +163,24 @@
         """Return the latest Report of the current worker; None without a worker."""
         return self._report if self._instance is not None else None
 
+    @property
+    def token_floor(self):
+        """Return a fencing token that none of this incarnation is much above.
+
+        Tokens rise by one for each call without an answer, far less often than
+        `_TOKEN_INCREMENT` times in the life of an agent.
+        """
+        return self._token_floor
+
+    def succeed_token(self, floor):
+        """Choose a fencing token above those of an earlier incarnation of this agent.
+
+        Args:
+          floor: An integer, its `token_floor`.
+        """
+        self._raise_token(floor + _TOKEN_INCREMENT)
+        self._token_floor = self._token
+
     @property
     def is_idle(self):
         """Return whether nothing may still run."""
@@ -752,6 +772,7 @@
         """Choose a token above one that the worker has refused."""
         if token == self._token:
             self._raise_token(token + _TOKEN_INCREMENT)
+            self._token_floor = self._token
             _log.warning("fencing token raised", token=self._token)
 
     async def _sweep(self):
