Let time pass between stops that a simulated worker refuses at one moment

Runner._stop repeats a stop at once when the answer is neither OK nor late: waits only after OK. A worker reborn under the same id refuses stops for its predecessor until a poll has told the agent, so the calls follow each other without a pause.

--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -4,14 +4,20 @@
 dialing, and what a process does after a suspension.
 """
 
+import asyncio
 import types
 
 import result
 
+from jujubeglade.core import clock
 from jujubeglade.direct import agent, contract, entry, platforms, worker
 from jujubeglade.fakes import direct_site, direct_worker
 
 _HOLD_MS = 1000
+#: The round trip of a stop that is refused again at the same moment. Without it, a
+#: caller that repeats such a stop at once would never let virtual time pass.
+_REFUSAL_MS = 1.0
+_NOT_REFUSED = (worker.Answer.OK, worker.Answer.UNKNOWN)
 _PORT = 1
 _PLATFORM = "simulated"
 
@@ -168,7 +174,7 @@
 class RemoteWorker(worker.WorkerClient):
     """The calls of an agent to a simulated worker that runs on while it is frozen."""
 
-    __slots__ = ("_process", "worker")
+    __slots__ = ("_loop", "_process", "_refused", "worker")
 
     def __init__(self, process, simulated):
         """Create the client.
@@ -177,7 +183,10 @@
           process: A Process, that of the worker.
           simulated: A SimulatedWorker.
         """
+        self._loop = asyncio.get_running_loop()
         self._process = process
+        # When a stop of a task was last refused, on the loop's clock in s.
+        self._refused = {}
         self.worker = simulated
 
     @property
@@ -198,7 +207,12 @@
 
     async def stop(self, target, task, run):
         """Stop an attempt; see `WorkerClient.stop`."""
-        return await self._call(self.worker.stop(target, task, run))
+        reply = await self._call(self.worker.stop(target, task, run))
+        if reply.answer not in _NOT_REFUSED:
+            if self._refused.get(task) == self._loop.time():
+                await asyncio.sleep(clock.seconds(_REFUSAL_MS))
+            self._refused[task] = self._loop.time()
+        return reply
 
     async def poll(self, target, cursor, lease_until_ms, wait_ms):
         """Extend the lease and list the attempts; see `WorkerClient.poll`."""
