--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from behave import given, when
+from behave import given, then, when
 from features import direct_faults
 
 from jujubeglade.fakes import direct_field, direct_random_faults, virtual_process
@@ -23,11 +23,17 @@
 
 @when("random faults occur for {seconds:d} s")
 def step_random_faults(context, seconds):
-    context.runner.run(
+    context.played = context.runner.run(
         direct_random_faults.random_faults(context.site, context.seed, seconds)
     )
 
 
+@then("at least {faults:d} faults were played and {jobs:d} jobs were completed")
+def step_played(context, faults, jobs):
+    assert len(context.played.faults) >= faults, len(context.played.faults)
+    assert context.played.completed >= jobs, context.played
+
+
 @when('the fault "{name}" occurs')
 def step_fault(context, name):
     context.runner.run(direct_faults.find(name)(context.site))
--- a/packages/bench/src/jujubeglade/fakes/direct_random_faults.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_random_faults.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import dataclasses
 import random
 
 from jujubeglade.core import clock
+from jujubeglade.direct import job
 from jujubeglade.fakes import direct_clients
 
 _RUN_MS = (100, 400, 1800)
@@ -19,6 +21,21 @@
 _faults = []
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Played:
+    """What was played.
+
+    Attributes:
+      faults: A list of pairs of a time in ms and a text.
+      submitted: An integer, the number of jobs.
+      completed: An integer, the number of jobs whose client got their results.
+    """
+
+    faults: list
+    submitted: int
+    completed: int
+
+
 def _fault(function):
     _faults.append(function)
     return function
@@ -249,7 +266,7 @@
       seconds: A number, for how long faults and jobs begin.
 
     Returns:
-      A list of pairs of a time in ms and a text, the faults.
+      A Played.
     """
     rng = random.Random(seed)
     for host in site.agents:
@@ -258,13 +275,17 @@
     end_ms = site.clock.now_ms() + seconds * clock.MILLISECONDS_PER_SECOND
     faults = Faults(site, rng)
     faults_task = asyncio.create_task(faults.run(end_ms))
-    clients = set()
+    clients = []
     while site.clock.now_ms() < end_ms:
         await asyncio.sleep(rng.uniform(0.02, 0.3))
         submission = site.submission(
             rng.randint(1, 4), _CORES, rng.choice(_RUN_MS), rng.choice((2500, 5000))
         )
-        clients.add(asyncio.create_task(direct_clients.run(site, submission)))
+        clients.append(asyncio.create_task(direct_clients.run(site, submission)))
     await faults_task
-    await asyncio.wait(clients)
-    return faults.record
+    outcomes = await asyncio.gather(*clients)
+    completed = sum(
+        outcome is not None and outcome.state is job.State.COMPLETED
+        for outcome in outcomes
+    )
+    return Played(faults.record, len(outcomes), completed)
