Keep a failing case: refused stops are repeated without a pause

Callers see nothing wrong; the agent and its worker exchange calls as fast as they can for each run that is to be stopped. Runner._stop pauses only after OK. Since any other answer that comes at once (another incarnation, fenced, unreachable, a reset connection) is followed by the next stop at once, until a poll has replaced the incarnation or the lease has expired.

The scenario allows 4 to 40. It fails until the product is changed.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -44,3 +44,9 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "a link is reset after a worker has crashed between two submissions" occurs
     Then no worker recorded a violation
+
+  Scenario: A worker that refuses the stops of its predecessor's runs isn't asked again without a pause
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a worker is reborn while its runs are being stopped" occurs
+    Then worker 0 got 4 to 40 stops
+    And no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -160,6 +160,17 @@
     await asyncio.sleep(3)
 
 
+@fault("a worker is reborn while its runs are being stopped")
+async def refuse_stops(site):
+    """Reset the clients' connections of entry 0 and crash worker 0 unnoticed."""
+    await _submit_to_first(site)
+    await asyncio.sleep(0.02)
+    site.agents[0].worker.crash(reports=False)
+    for request in list(site.entries[0].requests):
+        request.reset()
+    await asyncio.sleep(1)
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -39,6 +39,12 @@
     context.runner.run(direct_faults.find(name)(context.site))
 
 
+@then("worker {index:d} got {least:d} to {most:d} stops")
+def step_stops(context, index, least, most):
+    stops = context.site.agents[index].worker.stop_calls
+    assert least <= stops <= most, stops
+
+
 def _open_field(context, entries, workers, cores, seed):
     context.runner = asyncio.Runner(loop_factory=virtual_process.ProcessLoop)
     context.seed = seed
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -133,6 +133,8 @@
         #: Whether no call gets an answer.
         self.silent = False
         self.draining = False
+        #: The number of stops that it was sent.
+        self.stop_calls = 0
         #: A call renews the worker lease for at most this time from now.
         self.hold_ms = 1000
         self._witness = witness
@@ -222,6 +224,7 @@
 
     async def stop(self, target, task, run):
         """Stop an attempt; see `WorkerClient.stop`."""
+        self.stop_calls += 1
         if self.silent or self._rng.random() < self.lost_stop_share:
             return await self._time_out(worker.Reply, _STOP_ANSWER_TIMEOUT_MS)
         if self.late_stop_share and self._rng.random() < self.late_stop_share:
