Play clocks that are set back, suspended VMs and half-open links of direct jobs

Each simulated process has its own clocks. Process.suspend stops its monotonic clock and its timers, while the boot clock goes on. Pair.half_open closes one end of a link without the other's notice.

--- a/packages/bench/src/jujubeglade/fakes/direct_field.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_field.py
@@ -45,7 +45,15 @@
 class AgentHost:
     """The place of an agent and its worker, with the agent's current incarnation."""
 
-    __slots__ = ("agent", "name", "process", "worker", "worker_process", "zone")
+    __slots__ = (
+        "agent",
+        "name",
+        "process",
+        "wall_offset_ms",
+        "worker",
+        "worker_process",
+        "zone",
+    )
 
     def __init__(self, worker, worker_process, zone):
         """Create a place without an agent.
@@ -57,6 +65,8 @@
         """
         self.name = worker.name
         self.zone = zone
+        #: By how much the wall clock of the agent's next incarnation is ahead.
+        self.wall_offset_ms = 0.0
         self.worker = worker
         self.worker_process = worker_process
         self.process = None
@@ -120,7 +130,7 @@
         host.entry = host.process.run(
             direct_processes.SimulatedEntry,
             host.process,
-            self.clock,
+            self._new_clock(host.process, 0.0),
             host.name,
             host.zone,
         )
@@ -138,7 +148,7 @@
         host.agent = host.process.run(
             direct_processes.SimulatedAgent,
             host.process,
-            self.clock,
+            self._new_clock(host.process, host.wall_offset_ms),
             client,
             host.zone,
             self.network,
@@ -219,6 +229,9 @@
                 return host.entry
         return None
 
+    def _new_clock(self, process, wall_offset_ms):
+        return virtual_process.ProcessClock(self.loop, process, wall_offset_ms)
+
     def _new_process(self, name):
         process = virtual_process.Process(name)
         self._processes.append(process)
--- a/packages/bench/src/jujubeglade/fakes/direct_network.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_network.py
@@ -196,7 +196,9 @@
         await asyncio.shield(self._closed)
 
     def _now_ms(self):
-        return self._loop.time() * clock.MILLISECONDS_PER_SECOND
+        """Return the monotonic clock of this end's process."""
+        now_ms = self._loop.time() * clock.MILLISECONDS_PER_SECOND
+        return now_ms - self.process.suspended_ms
 
 
 class Pair:
@@ -237,6 +239,16 @@
             direction.clear()
             direction.is_silent = True
 
+    def half_open(self, end):
+        """Close one end without the other's notice.
+
+        Args:
+          end: A StreamLink, the end that is closed.
+        """
+        end.outgoing.clear()
+        end.outgoing.is_silent = True
+        end.process.receive(end.break_off)
+
     def close_end(self, process):
         """Close the end of a process that has been killed.
 
--- a/packages/bench/src/jujubeglade/fakes/direct_random_faults.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_random_faults.py
@@ -46,6 +46,9 @@
 
     __slots__ = ("_rng", "_site", "record")
 
+    #: The functions of all kinds of faults.
+    kinds = _faults
+
     def __init__(self, site, rng):
         """Create an empty record.
 
@@ -67,11 +70,11 @@
         running = set()
         while self._site.clock.now_ms() < end_ms:
             await self._pause(0.1, 1.5)
-            function = self._rng.choice(_faults)
+            function = self._rng.choice(self.kinds)
             running.add(asyncio.create_task(function(self)))
             if self._rng.random() < 0.2:
                 # Two at the same moment.
-                function = self._rng.choice(_faults)
+                function = self._rng.choice(self.kinds)
                 running.add(asyncio.create_task(function(self)))
         await asyncio.gather(*running)
 
@@ -257,13 +260,14 @@
         self.record.append((self._site.clock.now_ms(), text))
 
 
-async def random_faults(site, seed, seconds):
+async def random_faults(site, seed, seconds, new_faults=Faults):
     """Play random faults under load.
 
     Args:
       site: A FieldSite; its witness has the violations.
       seed: An integer.
       seconds: A number, for how long faults and jobs begin.
+      new_faults: A function from the site and a random.Random to its Faults.
 
     Returns:
       A Played.
@@ -273,7 +277,7 @@
         host.worker.clock_rate = rng.choice(_CLOCK_RATES)
         host.worker.stop_ms = rng.uniform(5, 50)
     end_ms = site.clock.now_ms() + seconds * clock.MILLISECONDS_PER_SECOND
-    faults = Faults(site, rng)
+    faults = new_faults(site, rng)
     faults_task = asyncio.create_task(faults.run(end_ms))
     clients = []
     while site.clock.now_ms() < end_ms:
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -193,11 +193,13 @@
         self._listener = listener
         self.report()
 
-    def crash(self, *, reports=True):
+    def crash(self, *, reports=True, set_back_ms=-1):
         """End all attempts and start the next incarnation.
 
         Args:
           reports: A boolean, whether the new incarnation reports at once.
+          set_back_ms: An integer, by how much its start is earlier than that of the
+            incarnation before, on its own clock.
         """
         for attempt in list(self._attempts.values()):
             attempt.timer.cancel()
@@ -205,7 +207,7 @@
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
         self._reset()
-        self._started_ms += 1
+        self._started_ms -= set_back_ms
         self._sequence = 0
         if reports:
             self.report()
--- a/packages/bench/src/jujubeglade/fakes/virtual_process.py
+++ b/packages/bench/src/jujubeglade/fakes/virtual_process.py
@@ -3,7 +3,9 @@
 Each callback and timer belongs to the process in whose context it was created. While a
 process is frozen, its callbacks are held and what it receives is queued. When it
 resumes, it handles what it has received first and then its overdue timers, as an
-asyncio process does that reads its sockets before it runs its timers.
+asyncio process does that reads its sockets before it runs its timers. A process whose
+VM was suspended goes on with its timers where they stood: its monotonic clock has
+stopped meanwhile, while the boot clock has not.
 """
 
 import asyncio
@@ -12,6 +14,7 @@
 import enum
 import heapq
 
+from jujubeglade.core import clock
 from jujubeglade.fakes import virtual
 
 _current = contextvars.ContextVar("process", default=None)
@@ -28,7 +31,16 @@
 class Process:
     """One process."""
 
-    __slots__ = ("_context", "_held", "_loop", "_received", "name", "state")
+    __slots__ = (
+        "_context",
+        "_held",
+        "_loop",
+        "_received",
+        "_suspended_at_s",
+        "name",
+        "state",
+        "suspended_ms",
+    )
 
     def __init__(self, name):
         """Create a running process.
@@ -38,6 +50,10 @@
         """
         self.name = name
         self.state = State.RUNNING
+        #: For how long its VM has been suspended in all.
+        self.suspended_ms = 0.0
+        # When its VM was suspended; None while it is not.
+        self._suspended_at_s = None
         self._loop = asyncio.get_running_loop()
         self._context = contextvars.copy_context()
         self._context.run(_current.set, self)
@@ -95,11 +111,20 @@
         if self.state is State.RUNNING:
             self.state = State.FROZEN
 
+    def suspend(self):
+        """Freeze it, with its monotonic clock."""
+        if self.state is State.RUNNING:
+            self.state = State.FROZEN
+            self._suspended_at_s = self._loop.time()
+
     def resume(self):
         """Handle what was received, then the callbacks and timers that were held."""
         if self.state is not State.FROZEN:
             return
         self.state = State.RUNNING
+        if self._suspended_at_s is not None:
+            self._delay_timers(self._loop.time() - self._suspended_at_s)
+            self._suspended_at_s = None
         self._loop.call_soon(self._handle_received, context=self._context.copy())
         self._release()
 
@@ -129,6 +154,13 @@
             context = self._context.copy()
             self._loop.call_soon(function, *arguments, context=context)
 
+    def _delay_timers(self, gap_s):
+        """Delay all timers by the time for which the monotonic clock has stopped."""
+        self.suspended_ms += gap_s * clock.MILLISECONDS_PER_SECOND
+        timers = [item for item in self._held if isinstance(item, _TimerHandle)]
+        self._held = [item for item in self._held if item not in timers]
+        self._loop.delay(self, gap_s, timers)
+
     def _release(self):
         held = self._held
         self._held = []
@@ -157,7 +189,44 @@
 class _TimerHandle(_Held, asyncio.TimerHandle):
     """A timer of a process."""
 
-    __slots__ = ()
+    __slots__ = ("process",)
+
+    def __init__(self, when, callback, args, loop, context):
+        super().__init__(when, callback, args, loop, context)
+        #: The Process, or None; a cancelled timer has no context left.
+        self.process = self._context.get(_current)
+
+
+class ProcessClock(virtual.VirtualClock):
+    """The clock of a process."""
+
+    __slots__ = ("_process", "_wall_offset_ms")
+
+    def __init__(self, loop, process, wall_offset_ms):
+        """Create a clock.
+
+        Args:
+          loop: A ProcessLoop.
+          process: A Process.
+          wall_offset_ms: A number, by which the wall clock is ahead.
+        """
+        super().__init__(loop)
+        self._process = process
+        self._wall_offset_ms = wall_offset_ms
+
+    def now_ms(self):
+        """Return the virtual time for which the VM was not suspended."""
+        return super().now_ms() - self._process.suspended_ms
+
+    def elapsed_ms(self):
+        """Return the virtual time."""
+        return super().now_ms()
+
+    def wall_ms(self):
+        """Return a fixed date plus the virtual time and the offset."""
+        return super().wall_ms() + int(
+            self._process.suspended_ms + self._wall_offset_ms
+        )
 
 
 class ProcessLoop(virtual.VirtualLoop):
@@ -170,6 +239,23 @@
         timer._scheduled = True
         return timer
 
+    def delay(self, process, gap_s, held):
+        """Delay the timers of a process.
+
+        Args:
+          process: A Process.
+          gap_s: A number.
+          held: A list of its asyncio.TimerHandles that have become due meanwhile.
+        """
+        for timer in held:
+            if not timer.cancelled():
+                timer._scheduled = True
+                self._scheduled.append(timer)
+        for timer in self._scheduled:
+            if timer.process is process:
+                timer._when += gap_s
+        heapq.heapify(self._scheduled)
+
     def run_again(self, handles):
         """Run callbacks that were held, in order.
 
