Keep a failing case: a late start passes the fence after the clock was set back

Callers would see two runs of a task, and more on a worker than it has room for. Runner.__init__ takes the first fencing token from the wall clock. After the clock of an agent was set back, its next incarnation uses lower tokens than the one before. A worker that has been reborn under the same id meanwhile has seen no token and accepts them, so a start of the earlier incarnation of the agent that arrives then has the higher token and is executed. The entry has concluded from the new incarnation that the earlier one's attempts can't start any more, and has placed the tasks elsewhere.

The worker must accept calls to an earlier incarnation of the same id: HttpWorkerClient names only the id in its header. The scenario fails until the product is changed.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -50,3 +50,8 @@
     When the fault "a worker is reborn while its runs are being stopped" occurs
     Then worker 0 got 4 to 40 stops
     And no worker recorded a violation
+
+  Scenario: A late start doesn't pass the fence of a reborn worker whose agent's clock was set back
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "starts are late, their agent's clock is set back and its worker is reborn" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -13,6 +13,7 @@
 _TASKS = 4
 _RUN_MS = 2500
 _CLIENT_TIMEOUT_MS = 15000
+_SET_BACK_MS = 3_600_000
 #: The interval of polls while no attempt ends, from the start of the site.
 _POLL_INTERVAL_MS = 300
 
@@ -171,6 +172,33 @@
     await asyncio.sleep(1)
 
 
+@fault("starts are late, their agent's clock is set back and its worker is reborn")
+async def set_clock_back(site):
+    """Restart agent 0 and its worker before the worker executes its starts."""
+    host = site.agents[0]
+    host.worker.checks_incarnation = False
+    host.worker.late_start_share = 1.0
+    host.worker.late_ms = (900, 900)
+    _drain(site.agents[1].worker, draining=True)
+    await asyncio.sleep(0.1)
+    submission = site.submission(_TASKS, _CORES, _RUN_MS, _CLIENT_TIMEOUT_MS)
+    direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(0.05)
+    site.kill(host)
+    host.worker.late_start_share = 0.0
+    host.worker.crash()
+    _drain(site.agents[1].worker, draining=False)
+    host.wall_offset_ms -= _SET_BACK_MS
+    await asyncio.sleep(0.1)
+    await site.start_agent(host)
+    await asyncio.sleep(0.01)
+    # It fills worker 0 before entry 0 places its tasks again.
+    other = site.submission(_TASKS, _CORES, _RUN_MS, _CLIENT_TIMEOUT_MS)
+    direct_clients.Request(site.entries[0], other)
+    await asyncio.sleep(3)
+    assert len(site.witness.done) == 2 * _TASKS, "tasks were not placed again"
+
+
 async def _submit_to_first(site, run_ms=_RUN_MS, tasks=_TASKS):
     """Submit a job to entry 0 that it places on worker 0."""
     _drain(site.agents[1].worker, draining=True)
