--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -23,11 +23,17 @@
 
 @when("random faults occur for {seconds:d} s")
 def step_random_faults(context, seconds):
-    context.runner.run(
+    context.played = context.runner.run(
         direct_random_faults.random_faults(context.site, context.seed, seconds)
     )
 
 
+@then("at least {faults:d} faults were played and {jobs:d} jobs were completed")
+def step_played(context, faults, jobs):
+    assert len(context.played.faults) >= faults, len(context.played.faults)
+    assert context.played.completed >= jobs, context.played
+
+
 @when('the fault "{name}" occurs')
 def step_fault(context, name):
     context.runner.run(direct_faults.find(name)(context.site))
@@ -38,6 +44,12 @@
     assert len(context.site.witness.done) == count, context.site.witness.done
 
 
+@then("worker {index:d} got {least:d} to {most:d} stops")
+def step_stops(context, index, least, most):
+    stops = context.site.agents[index].worker.stop_calls
+    assert least <= stops <= most, stops
+
+
 def _open_field(context, entries, workers, cores, seed):
     context.runner = asyncio.Runner(loop_factory=virtual_process.ProcessLoop)
     context.seed = seed
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -133,6 +133,8 @@
         #: Whether no call gets an answer.
         self.silent = False
         self.draining = False
+        #: The number of stops that it was sent.
+        self.stop_calls = 0
         #: A call renews the worker lease for at most this time from now.
         self.hold_ms = 1000
         self._witness = witness
@@ -196,11 +198,13 @@
         self._listener = listener
         self.report()
 
-    def crash(self, *, reports=True):
+    def crash(self, *, reports=True, set_back_ms=-1):
         """End all attempts and start the next incarnation.
 
         Args:
           reports: A boolean, whether the new incarnation reports at once.
+          set_back_ms: An integer, by how much its start is earlier than that of the
+            incarnation before, on its own clock.
         """
         for attempt in list(self._attempts.values()):
             attempt.timer.cancel()
@@ -208,7 +212,7 @@
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
         self._reset()
-        self._started_ms += 1
+        self._started_ms -= set_back_ms
         self._sequence = 0
         if reports:
             self.report()
@@ -227,6 +231,7 @@
 
     async def stop(self, target, task, run):
         """Stop an attempt; see `WorkerClient.stop`."""
+        self.stop_calls += 1
         if self.silent or self._rng.random() < self.lost_stop_share:
             return await self._time_out(worker.Reply, _STOP_ANSWER_TIMEOUT_MS)
         if self.late_stop_share and self._rng.random() < self.late_stop_share:
