--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -10,7 +10,14 @@
 import result
 
 from jujubeglade.core import clock
-from jujubeglade.direct import agent, contract, entry, platforms, worker
+from jujubeglade.direct import (
+    agent,
+    contract,
+    entry,
+    foreign_attempts,
+    platforms,
+    worker,
+)
 from jujubeglade.fakes import direct_site, direct_worker
 
 _HOLD_MS = 1000
@@ -58,6 +65,19 @@
         self[item] = None
 
 
+class _OrderedForeignAttempts(foreign_attempts.ForeignAttempts):
+    """Foreign attempts that are stopped in the order of their names."""
+
+    __slots__ = ()
+
+    def update(self, listed_keys):
+        """Record the foreign attempts; see `ForeignAttempts.update`."""
+        have_ended = super().update(listed_keys & self._keys)
+        for key in sorted(listed_keys - self._keys, key=str):
+            super().update(self._keys | {key})
+        return have_ended
+
+
 class SimulatedEntry(entry.Entry):
     """An entry without ports or a store."""
 
@@ -111,6 +131,10 @@
         """
         super().__init__(_settings(worker.name, zone, worker), clock)
         self.process = process
+        foreign = self._runner._foreign
+        self._runner._foreign = _OrderedForeignAttempts(
+            foreign._background, foreign._stop
+        )
         self._network = network
         self._find_entry = find_entry
 
