--- a/features/direct_random_faults.feature
+++ b/features/direct_random_faults.feature
@@ -9,6 +9,7 @@
     Examples: A halt was lost with the link, and the client submitted the job again elsewhere
       | seed |
       | 3    |
+      | 104  |
       | 169  |
 
     Examples: A duplicate was refused while the earlier run was being stopped
@@ -22,6 +23,10 @@
       | 80   |
       | 156  |
 
+    Examples: A run was taken for ended after a reset of its link
+      | seed |
+      | 22   |
+
     Examples: The lease of a lost owner's run outlasted the client's pause
       | seed |
       | 124  |
