--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -419,7 +419,7 @@
         A Halt may have been lost with the previous link, and the task of a worker that
         counted as gone may have been sent elsewhere.
         """
-        for name, run in attempts:
+        for name, run in sorted(attempts, key=str):
             worker.halt(name, run)
 
     def _release_current(self, worker, name, run):
