--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 
 from jujubeglade.core import clock, log, metrics
@@ -27,19 +28,25 @@
     capacity,
     contract,
     foreign_attempts,
+    held_begins,
     report_cache,
     worker,
     worker_lease,
 )
 
-#: How long the worker may delay its reply to a poll until an attempt ends; several
-#: polls fit into the shortest lease.
-_POLL_WAIT_MS = 300
+#: How long the worker may delay its reply to a poll until an attempt ends. The lease
+#: outlasts two polls without an answer.
+_POLL_WAIT_MS = 200
 #: The interval of polls while the worker does not answer, and until it has listed its
 #: attempts and those that this runner has not started have ended.
 _POLL_RETRY_MS = 50
 _SWEEP_INTERVAL_MS = 50
+#: A stop without an answer is repeated after this time, long before its timeout.
+_STOP_OVERLAP_MS = 40
+#: An answered stop is repeated after this time; by then the attempt has usually ended.
 _STOP_RETRY_MS = 120
+#: The worker lease expires this long before a client's next submission can start.
+_RESUBMIT_MARGIN_MS = 50
 #: How long a new instance is relied on before it reports. A worker that is about to
 #: leave reports so within this time after an agent restarts.
 _UNCONFIRMED_LIMIT_MS = 2000
@@ -49,6 +56,7 @@
 _TOKEN_INCREMENT = 1_000_000
 
 _REFUSALS = {
+    worker.Answer.FENCED: contract.Refusal.LOST,
     worker.Answer.NO_ROOM: contract.Refusal.ROOM,
     worker.Answer.OUTDATED_RUN: contract.Refusal.OUTDATED_RUN,
     worker.Answer.OTHER_INSTANCE: contract.Refusal.NO_WORKER,
@@ -70,9 +78,11 @@
         "_clock",
         "_cursor",
         "_foreign",
+        "_held",
         "_last_instance",
         "_lease",
         "_lease_ms",
+        "_resubmit_ms",
         "_instance",
         "_metrics",
         "_is_evacuated",
@@ -84,11 +94,21 @@
         "_token",
         "_unconfirmed_until_ms",
         "_instance_known",
+        "_has_left",
+        "_successor",
+        "_successor_reported_ms",
         "leaving",
     )
 
     def __init__(
-        self, worker_client, clock, lease_ms, is_evacuated, announcer, metrics
+        self,
+        worker_client,
+        clock,
+        lease_ms,
+        resubmit_ms,
+        is_evacuated,
+        announcer,
+        metrics,
     ):
         """Create a runner without a worker.
 
@@ -96,6 +116,8 @@
           worker_client: A WorkerClient.
           clock: A Clock.
           lease_ms: An integer, the longest lease of the worker.
+          resubmit_ms: An integer, how long after their connection broke clients submit
+            again.
           is_evacuated: A function without arguments that returns whether this
             availability zone is out of service.
           announcer: An Announcer, notified of changes of the room.
@@ -105,6 +127,7 @@
         self._worker_client = worker_client
         self._clock = clock
         self._lease_ms = lease_ms
+        self._resubmit_ms = resubmit_ms
         self._is_evacuated = is_evacuated
         self._announcer = announcer
         self._attempts = {}
@@ -117,12 +140,19 @@
         self._instance = None
         # The most recent instance, which may be gone.
         self._last_instance = None
+        # Whether the worker has sent that it leaves.
+        self._has_left = False
+        # The report of an incarnation that may have replaced the current one, and when
+        # it arrived. No report ends an attempt: it may be late, or another writer's.
+        self._successor = None
+        self._successor_reported_ms = 0.0
         self._report = None
         self._lease = None
         self._cursor = 0
         self._foreign = foreign_attempts.ForeignAttempts(
             self._background, self._stop_foreign
         )
+        self._held = held_begins.HeldBegins()
         # Until when attempts may start although the instance has not reported itself,
         # as its report comes from the store; infinite once it has.
         self._unconfirmed_until_ms = math.inf
@@ -171,17 +201,22 @@
             owner.last_begin,
             revision,
             members,
+            self._clock.elapsed_ms(),
         )
 
     def roster(self, owner):
         """List the attempts of an owner and how its earlier ones ended.
 
+        The list is the first message on a new link, so Begins of the previous link that
+        are still held count as lost with it.
+
         Args:
           owner: An Owner.
 
         Returns:
           A Roster.
         """
+        self._held.drop_owner(owner)
         attempts = [
             attempt.key for attempt in self._attempts.values() if attempt.owner is owner
         ]
@@ -195,6 +230,14 @@
           begin: A Begin.
         """
         owner.last_begin = begin.number
+        owner.note_echo(begin.echo_ms)
+        self._admit(owner, begin)
+
+    def _admit(self, owner, begin):
+        """Start an attempt, refuse it, or hold it until an earlier one has ended."""
+        if begin.task in self._attempts:
+            self._hold(owner, begin)
+            return
         refusal = self._refusal() or self._mismatch(begin)
         if refusal is None and not self._capacity.reserve(begin.task, begin.needs):
             refusal = contract.Refusal.ROOM
@@ -225,20 +268,29 @@
         attempt = self._attempts.get(halt.task)
         if attempt is not None and attempt.run == halt.run and attempt.owner is owner:
             self._halt(attempt, "owner asked")
+        held = self._held.pop_if(owner, halt.task, halt.run)
+        if held is not None:
+            self._refuse(owner, held.begin, contract.Refusal.DUPLICATE)
 
     def drop_owner(self, owner):
         """Stop everything that runs for an owner that is lost.
 
         Args:
           owner: An Owner.
+
+        Returns:
+          A boolean, whether nothing may still run for it.
         """
-        dropped = [
+        self._held.drop_owner(owner)
+        attempts = [
             attempt for attempt in self._attempts.values() if attempt.owner is owner
         ]
-        if dropped:
-            _log.warning("owner lost", owner=owner.identity.name, stopped=len(dropped))
-        for attempt in dropped:
+        running = [attempt for attempt in attempts if not attempt.halted]
+        if running:
+            _log.warning("owner lost", owner=owner.identity.name, stopped=len(running))
+        for attempt in running:
             self._halt(attempt, "owner lost")
+        return not attempts
 
     def on_report(self, report):
         """Handle a report of the worker.
@@ -255,12 +307,15 @@
                     worker=report.instance.name,
                 )
                 return
-            self._lose_instance("another incarnation reports")
+            if self._instance is not None:
+                self._note_successor(report)
+                return
             self._adopt_instance(report)
         elif report.sequence <= self._report.sequence:
             return
         elif report.draining and not self._report.draining:
             _log.info("worker draining", worker=report.instance.name)
+        self._has_left = False
         self._report = report
         if report.sequence != report_cache.STORED_SEQUENCE:
             self._unconfirmed_until_ms = math.inf
@@ -270,11 +325,15 @@
     def on_left(self, name):
         """Handle the departure of the worker.
 
+        It may run on for a moment, and the message may be of an earlier incarnation. So
+        its attempts end when it can't be reached any more, or its lease has expired.
+
         Args:
           name: A string, the worker's id.
         """
         if self._instance is not None and self._instance.name == name:
-            self._lose_instance("worker has left")
+            _log.info("worker leaves", worker=name)
+            self._has_left = True
             self._announcer.on_state_change()
 
     async def run(self):
@@ -294,10 +353,14 @@
         """Return the Refusal of all attempts now; None when attempts may start."""
         if self._instance is None or not self._clean or not self._responsive:
             return contract.Refusal.NO_WORKER
+        if self._has_left or self._successor is not None:
+            return contract.Refusal.NO_WORKER
         if self._clock.now_ms() > self._unconfirmed_until_ms:
             return contract.Refusal.NO_WORKER
         if self._foreign:
             return contract.Refusal.NO_WORKER
+        if self._lease_limit_ms(self._attempts.values()) <= 0:
+            return contract.Refusal.NO_WORKER
         if self._report.draining:
             return contract.Refusal.DRAINING
         if self.leaving:
@@ -312,14 +375,47 @@
             return contract.Refusal.OTHER_SERVICE
         if begin.label and begin.label not in self._report.labels:
             return contract.Refusal.OTHER_SERVICE
-        attempt = self._attempts.get(begin.task)
-        if attempt is not None:
-            # The client has submitted the job again to another entry; the attempt of
-            # the previous owner must end first.
-            self._halt(attempt, "submitted again")
-            return contract.Refusal.DUPLICATE
         return None
 
+    def _hold(self, owner, begin):
+        """Stop the earlier attempt of a task, and hold its Begin until that has ended.
+
+        The client has submitted the job again, to another entry.
+        """
+        self._halt(self._attempts[begin.task], "submitted again")
+        until_ms = self._clock.now_ms() + begin.left_ms
+        held = held_begins.HeldBegin(owner, begin, until_ms)
+        replaced = self._held.put(held)
+        if replaced is not None:
+            self._refuse(replaced.owner, replaced.begin, contract.Refusal.DUPLICATE)
+
+    def _admit_held(self, task):
+        """Start the held attempt of a task whose earlier attempt has ended."""
+        held = self._held.pop(task)
+        if held is None:
+            return
+        left_ms = held.left_ms(self._clock.now_ms())
+        self._admit(held.owner, dataclasses.replace(held.begin, left_ms=left_ms))
+
+    def _lease_limit_ms(self, attempts):
+        """Return the time from now within which the lease must have expired.
+
+        By then the clients of the attempts may have submitted them again elsewhere.
+        It is 0 while the worker runs what this agent has not started.
+        """
+        if self._foreign:
+            return 0
+        alive_ms = min(
+            (attempt.owner_alive_ms for attempt in attempts), default=math.inf
+        )
+        limit_ms = alive_ms + self._resubmit_ms - _RESUBMIT_MARGIN_MS
+        return limit_ms - self._clock.elapsed_ms()
+
+    def _extend_lease(self, now_ms):
+        """Return the Extension of the lease for a call that is sent now, or None."""
+        limit_ms = self._lease_limit_ms(self._attempts.values())
+        return self._lease.extend(now_ms, limit_ms, self._token)
+
     def _refuse(self, owner, begin, refusal):
         self._metrics.count(metrics.Counter.REJECTED, str(refusal))
         _log.info(
@@ -339,14 +435,22 @@
         if attempt.owner.is_silent(self._clock.elapsed_ms()) or attempt.halted:
             self._drop_unstarted(attempt, contract.Refusal.LEAVING)
             return
-        until_ms = self._lease.extend(self._clock.now_ms())
-        if until_ms is None:
+        now_ms = self._clock.now_ms()
+        if self._lease.remaining_ms(now_ms) > self._lease_limit_ms((attempt,)):
+            self._drop_unstarted(attempt, contract.Refusal.OWNER_UNHEARD)
+            return
+        lease = self._lease
+        has_worker = self._instance is not None and not self._has_left
+        extension = self._extend_lease(now_ms) if has_worker else None
+        if extension is None:
             self._drop_unstarted(attempt, contract.Refusal.NO_WORKER)
             return
         attempt.token = self._token
         target = worker.Target(self._instance, self._token)
-        start = worker.Start(begin.task, begin.run, begin.spec, until_ms)
+        start = worker.Start(begin.task, begin.run, begin.spec, extension.until_ms)
         reply = await self._worker_client.start(target, start)
+        if reply.answer is not worker.Answer.UNKNOWN:
+            lease.close(extension)
         if self._attempts.get(attempt.task) is not attempt:
             return
         if target.instance == self._instance:
@@ -358,8 +462,6 @@
         if answer is worker.Answer.OK:
             attempt.confirm(self._clock.now_ms())
             self._metrics.count(metrics.Counter.STARTED)
-            if attempt.halted:
-                self._spawn(self._stop(attempt))
         elif answer is worker.Answer.UNKNOWN:
             attempt.phase = attempt_.Phase.UNRESOLVED
             _log.warning(
@@ -408,11 +510,12 @@
         del self._attempts[attempt.task]
         self._capacity.release(attempt.task)
         self._announcer.on_room_change()
+        self._admit_held(attempt.task)
 
     def _halt(self, attempt, cause):
         if attempt.halted:
             return
-        attempt.halted_ms = self._clock.now_ms()
+        attempt.halt(self._clock.now_ms())
         _log.info(
             "attempt halted",
             task=attempt.task,
@@ -420,23 +523,33 @@
             cause=cause,
             ran_ms=int(attempt.halted_ms - attempt.started_ms),
         )
-        if attempt.phase is not attempt_.Phase.STARTING:
-            self._spawn(self._stop(attempt))
+        self._spawn(self._stop(attempt))
 
     async def _stop(self, attempt):
-        """Ask the worker repeatedly to stop an attempt until it has ended."""
+        """Ask the worker repeatedly to stop an attempt until it has ended.
+
+        Calls overlap: the answer to one may be lost, which shows only at its timeout.
+        """
         while self._attempts.get(attempt.task) is attempt:
             if self._instance is None:
                 await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
                 continue
-            target = worker.Target(self._instance, self._token)
-            attempt.stop_calls += 1
-            reply = await self._worker_client.stop(target, attempt.task, attempt.run)
-            if reply.answer is worker.Answer.FENCED:
-                self._pass_fence(target.token)
-            if reply.answer is not worker.Answer.UNKNOWN:
+            call = self._spawn(self._stop_once(attempt))
+            done, _ = await asyncio.wait(
+                (call,), timeout=clock.seconds(_STOP_OVERLAP_MS)
+            )
+            if done and call.result() is worker.Answer.OK:
                 await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
 
+    async def _stop_once(self, attempt):
+        """Ask the worker to stop an attempt, and return its Answer."""
+        target = worker.Target(self._instance, self._token)
+        attempt.stop_calls += 1
+        reply = await self._worker_client.stop(target, attempt.task, attempt.run)
+        if reply.answer is worker.Answer.FENCED:
+            self._pass_fence(target.token)
+        return reply.answer
+
     async def _stop_foreign(self, key):
         """Ask the worker once to stop an attempt that this runner has not started."""
         await self._worker_client.stop(worker.Target(self._instance, self._token), *key)
@@ -445,19 +558,32 @@
         """Poll the worker, renew its lease, and handle the reply."""
         instance = self._instance
         sent_ms = self._clock.now_ms()
-        until_ms = self._lease.extend(sent_ms) if self._clean else None
+        lease = self._lease
+        # After a poll without an answer, the lease is not extended before the next one.
+        is_relied_on = self._clean and self._responsive
+        extension = self._extend_lease(sent_ms) if is_relied_on else None
         target = worker.Target(instance, self._token)
-        wait_ms = _POLL_WAIT_MS if self._clean and self._responsive else 0
-        reply = await self._worker_client.poll(target, self._cursor, until_ms, wait_ms)
+        reply = await self._worker_client.poll(
+            target,
+            self._cursor,
+            extension.until_ms if extension is not None else None,
+            _POLL_WAIT_MS if is_relied_on else 0,
+        )
+        if reply.answer is not worker.Answer.UNKNOWN:
+            lease.close(extension)
         if instance != self._instance:
             return
         if reply.started_ms and instance.started_ms not in (0, reply.started_ms):
             # The worker has restarted under the same name.
-            self._lose_instance("another incarnation answers")
-            self._announcer.on_state_change()
+            self._replace_instance("another incarnation answers")
             return
         self._lease.note_clock(reply.clock_ms, self._clock.now_ms())
+        if reply.answer is worker.Answer.UNKNOWN:
+            # Carried out late, it would extend the lease again; the fence prevents that
+            # from the next answer on.
+            self._raise_token(target.token + 1)
         if reply.answer is worker.Answer.OK:
+            self._drop_successor(sent_ms)
             self._apply(reply, sent_ms, target.token)
             if not self._clean:
                 await asyncio.sleep(clock.seconds(_POLL_RETRY_MS))
@@ -465,15 +591,17 @@
         if reply.answer is worker.Answer.FENCED:
             self._pass_fence(target.token)
         elif reply.answer is worker.Answer.OTHER_INSTANCE:
-            self._lose_instance("another incarnation answers")
-            self._announcer.on_state_change()
+            self._replace_instance("another incarnation answers")
+            return
+        elif reply.answer is worker.Answer.UNREACHABLE and self._has_left:
+            self._replace_instance("worker has left")
             return
         self._note_silent(reply.answer)
         await asyncio.sleep(clock.seconds(_POLL_RETRY_MS))
 
     def _apply(self, reply, sent_ms, token):
         """Reconcile the attempts with what the worker lists."""
-        self._lease.note_answer(self._clock.now_ms())
+        self._lease.note_answer(self._clock.now_ms(), token)
         self._unanswered_polls = 0
         for finished in reply.finished:
             self._handle_finished(finished)
@@ -509,8 +637,6 @@
         attempt.is_listed = True
         if attempt.phase is attempt_.Phase.UNRESOLVED:
             attempt.confirm(self._clock.now_ms())
-            if attempt.halted:
-                self._spawn(self._stop(attempt))
 
     def _handle_absent(self, attempt, sent_ms, token):
         """Handle an attempt that the worker does not list.
@@ -546,6 +672,8 @@
         for attempt in list(self._attempts.values()):
             if attempt.phase is attempt_.Phase.RUNNING:
                 self._end(attempt, contract.End.LAPSED)
+        if self._has_left or self._successor is not None:
+            self._replace_instance("worker silent")
 
     def _log_lapse(self, now_ms):
         """Log what the conclusion rests on that the worker lease has expired."""
@@ -557,9 +685,35 @@
             answer_age_ms=int(answer_age_ms),
             extension_age_ms=int(extension_age_ms),
             unanswered_polls=self._unanswered_polls,
+            open_extensions=self._lease.open_extensions,
             token=self._token,
         )
 
+    def _note_successor(self, report):
+        """Ask the current incarnation whether another one has replaced it."""
+        if self._successor is None:
+            _log.info("another incarnation reports", worker=report.instance.name)
+            self._successor_reported_ms = self._clock.now_ms()
+            self._announcer.on_state_change()
+        self._successor = report
+
+    def _drop_successor(self, sent_ms):
+        """Ignore the reported successor of an incarnation that still answers."""
+        if self._successor is None or sent_ms < self._successor_reported_ms:
+            return
+        _log.info("report ignored", worker=self._successor.instance.name)
+        self._successor = None
+        self._announcer.on_state_change()
+
+    def _replace_instance(self, cause):
+        """Give up the current incarnation, and adopt its successor if there is one."""
+        self._lose_instance(cause)
+        successor = self._successor
+        self._successor = None
+        if successor is not None:
+            self.on_report(successor)
+        self._announcer.on_state_change()
+
     def _follows(self, instance):
         """Return whether an instance may have started after the current one."""
         if self._instance is None or not instance.started_ms:
@@ -598,6 +752,7 @@
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
         self._past_instances.add(self._instance)
         self._instance = None
+        self._has_left = False
         self._foreign.clear()
         for attempt in list(self._attempts.values()):
             if attempt.is_listed:
@@ -643,4 +798,4 @@
                     self._end(attempt, contract.End.LOST)
 
     def _spawn(self, coroutine):
-        self._background.spawn(coroutine)
+        return self._background.spawn(coroutine)
