Name the causes of failures in the specification of direct jobs anew

A freeze was said to be caused by MemoryLink.abort, and the drop of a silent owner after a wake-up by Owner.is_silent, which only reads. The random faults of the tests have a method for each failure now, and owners.drop_silent does the drop. All other actions name functions that exist and do what the action does; only names change here.

--- a/packages/bench/src/jujubeglade/model/direct.py
+++ b/packages/bench/src/jujubeglade/model/direct.py
@@ -140,6 +140,7 @@
 _action = functools.partial(spec.action, ACTIONS)
 _RUNNER = "jujubeglade.direct.runner:Runner."
 _DISPATCHER = "jujubeglade.direct.dispatcher:Dispatcher."
+_FAULTS = "jujubeglade.fakes.direct_random_faults:Faults."
 
 
 def initial(setting):
@@ -367,7 +368,7 @@
             yield f"stopped {task}", _report_over(following, number, task)
 
 
-@_action("kill_agent", "jujubeglade.fakes.direct_site:Site.restart_node")
+@_action("kill_agent", _FAULTS + "restart_agent")
 def kill_agent(setting, state):
     """An agent dies; its next incarnation has no state but a higher token."""
     if not state.faults:
@@ -397,7 +398,7 @@
             yield f"agent {number} starts", _with_worker(state, number, restarted)
 
 
-@_action("freeze", "jujubeglade.fakes.direct_site:MemoryLink.abort")
+@_action("freeze", _FAULTS + "freeze_agent")
 def freeze(setting, state):
     """An agent freezes and loses its link to the owner."""
     if not state.faults:
@@ -409,7 +410,7 @@
             yield f"agent {number} freezes", _with_worker(state, number, frozen)
 
 
-@_action("wake", "jujubeglade.direct.owners:Owner.is_silent")
+@_action("wake", "jujubeglade.direct.owners:drop_silent")
 def resume(setting, state):
     """A frozen agent resumes; it checks first for how long its owner was silent."""
     for number, worker in enumerate(state.workers):
@@ -418,7 +419,7 @@
             yield f"agent {number} resumes", _with_worker(state, number, resumed)
 
 
-@_action("cut", "jujubeglade.fakes.direct_site:MemoryLink.abort")
+@_action("cut", _FAULTS + "cut")
 def cut(setting, state):
     """The link between the owner and an agent is cut."""
     if not state.faults:
@@ -453,7 +454,7 @@
     return state
 
 
-@_action("lose_owner", "jujubeglade.fakes.direct_site:Site.lose_entry")
+@_action("lose_owner", _FAULTS + "restart_entry")
 def lose_owner(setting, state):
     """The owner of a task dies; its client submits it elsewhere after a while."""
     if not state.faults:
