Register the specifications of resubmission and of late calls

Neither was run by `make check-model` or the feature. A mutation of no rule, but of the assumption that a running owner notices a broken connection within a tick, is refuted too. Actions name the functions that carry them out now.

--- a/features/model.feature
+++ b/features/model.feature
@@ -13,6 +13,8 @@
       | commands      |
       | leave         |
       | direct        |
+      | resubmission  |
+      | late_calls    |
 
   Scenario Outline: The states of <specification> include all its witnesses
     When the model searches for the witnesses of "<specification>"
@@ -25,6 +27,8 @@
       | commands      |
       | leave         |
       | direct        |
+      | resubmission  |
+      | late_calls    |
 
   Scenario Outline: <specification> can reach its goal from every state
     When the model checks the progress of "<specification>"
@@ -36,6 +40,8 @@
       | commands      |
       | leave         |
       | direct        |
+      | resubmission  |
+      | late_calls    |
 
   Scenario: Permits are granted while the store is down for all entries
     When the model checks the progress of "drain" in an outage
@@ -103,6 +109,27 @@
       | direct | the time of a freeze does not count as silence | no task runs twice at one time | 11 |
       | direct | room is free as soon as the stop is sent | no worker runs more than its room | 5 |
 
+    Examples: Resubmission
+      | specification | mutation | property | steps |
+      | resubmission | an agent forgets the attempts of an owner that it drops | no task runs twice at one time | 7 |
+      | resubmission | an owner does not repeat its halts on a new link | no task runs twice at one time | 12 |
+      | resubmission | the lease outlives the client's wait | no task runs twice at one time | 9 |
+      | resubmission | the lease outlives the owner's wait, the shorter one | no task runs twice at one time | 15 |
+      | resubmission | a Begin that is read late proves that its owner is alive | no task runs twice at one time | 10 |
+      | resubmission | a halt moves the limit of the lease | no task runs twice at one time | 10 |
+      | resubmission | an owner vouches for clients that it has not looked at | no task runs twice at one time | 12 |
+      | resubmission | a running owner overlooks that its client has left | no task runs twice at one time | 9 |
+
+    Examples: Late calls
+      | specification | mutation | property | steps |
+      | late_calls | a poll without an answer does not raise the token | the next answer makes unanswered calls void | 3 |
+      | late_calls | a start without an answer does not raise the token | the next answer makes unanswered calls void | 3 |
+      | late_calls | calls without an answer are not counted | what counts as lapsed has ended | 6 |
+      | late_calls | calls that await their answer are not counted | what counts as lapsed has ended | 7 |
+      | late_calls | an answer ends the count of calls with its token | what counts as lapsed has ended | 11 |
+      | late_calls | a call that becomes void did not extend the lease just before | what counts as lapsed has ended | 9 |
+      | late_calls | the lease of an answered call counts from its sending | what counts as lapsed has ended | 9 |
+
   Scenario Outline: Every property of <specification> holds with the relaxation: <relaxation>
     When the model checks "<specification>" where "<relaxation>"
     Then the model is exhaustive and every property holds
@@ -112,6 +139,10 @@
       | leave | tasks are accepted after the leave but refused before their start |
       | ownership | an executor accepts a second attempt |
       | ownership | a successor places the task on itself |
+      | resubmission | the lease outlives the owner's wait, the longer one |
+      | resubmission | an old Begin is accepted |
+      | resubmission | a duplicate is refused instead of held |
+      | late_calls | polls extend the lease after one without an answer |
 
   Scenario: Every mutation and relaxation is listed above
     Then the model's feature names every mutation and relaxation
--- a/packages/bench/src/jujubeglade/model/_resubmission_agents.py
+++ b/packages/bench/src/jujubeglade/model/_resubmission_agents.py
@@ -9,6 +9,7 @@
 _action = functools.partial(spec.action, ACTIONS)
 _AGENT = "jujubeglade.direct.agent:Agent."
 _RUNNER = "jujubeglade.direct.runner:Runner."
+_FAULTS = "jujubeglade.fakes.direct_random_faults:Faults."
 
 
 @_action("deliver", _AGENT + "on_message")
@@ -61,7 +62,7 @@
     return records.with_worker(state, number, phase=records.STOPPING)
 
 
-@_action("extend", _RUNNER + "_poll_once")
+@_action("extend", _RUNNER + "_extend_lease")
 def extend(setting, state):
     """A poll extends the worker lease, whether or not its answer arrives."""
     for number, worker in enumerate(state.workers):
@@ -106,7 +107,7 @@
             yield f"the task ends on worker {number}", ended
 
 
-@_action("drop", _RUNNER + "drop_owner")
+@_action("drop", "jujubeglade.direct.owners:drop_silent")
 def drop(setting, state):
     """An agent drops the first owner, which is silent, and halts its attempt."""
     for number, worker in enumerate(state.workers):
@@ -135,7 +136,7 @@
     return worker.phase == records.RUNNING or (worker.listed and not keeps)
 
 
-@_action("freeze", "jujubeglade.fakes.direct_site:MemoryLink.abort")
+@_action("freeze", _FAULTS + "freeze_agent")
 def freeze(setting, state):
     """An agent freezes; what is sent to it waits."""
     if not state.faults:
@@ -146,7 +147,7 @@
             yield f"agent {number} freezes", frozen._replace(faults=state.faults - 1)
 
 
-@_action("wake", "jujubeglade.direct.owners:Owner.is_silent")
+@_action("wake", _AGENT + "_tick")
 def wake(setting, state):
     """A frozen agent runs again; it may read an old heartbeat before its clock."""
     for number, worker in enumerate(state.workers):
--- a/packages/bench/src/jujubeglade/model/_resubmission_owners.py
+++ b/packages/bench/src/jujubeglade/model/_resubmission_owners.py
@@ -8,6 +8,8 @@
 ACTIONS = []
 _action = functools.partial(spec.action, ACTIONS)
 _DISPATCHER = "jujubeglade.direct.dispatcher:Dispatcher."
+_FAULTS = "jujubeglade.fakes.direct_random_faults:Faults."
+_RUNNER = "jujubeglade.direct.runner:Runner."
 _HALT = records.Message(records.HALT)
 
 
@@ -35,7 +37,7 @@
         yield f"A sends the task to {number}", records.with_first(sent, place=number)
 
 
-@_action("beat", "jujubeglade.direct.owners:Owner.note_received")
+@_action("beat", "jujubeglade.direct.owners:Owner.note_echo")
 def beat(setting, state):
     """An agent reads a heartbeat of the first owner."""
     if not records.may_act(state.first):
@@ -90,7 +92,7 @@
             yield f"A closes the link of {number}", closed
 
 
-@_action("relink", _DISPATCHER + "on_link")
+@_action("relink", _DISPATCHER + "_halt_unwanted")
 def relink(setting, state):
     """An agent dials the first owner again."""
     first = state.first
@@ -134,7 +136,7 @@
     yield "A sees that its client has left", checked
 
 
-@_action("break_client", "jujubeglade.fakes.direct_site:Site.submit")
+@_action("break_client", _FAULTS + "reset_clients")
 def break_client(setting, state):
     """The connection of the client to the first owner breaks."""
     if state.faults and state.client == records.CONNECTED:
@@ -144,7 +146,7 @@
         )
 
 
-@_action("kill_owner", "jujubeglade.fakes.direct_site:Site.lose_entry")
+@_action("kill_owner", _FAULTS + "restart_entry")
 def kill_owner(setting, state):
     """The first owner dies."""
     if not state.faults or state.first.status == records.DEAD:
@@ -163,7 +165,7 @@
     )
 
 
-@_action("freeze_owner", "jujubeglade.direct.entry:Entry._resume")
+@_action("freeze_owner", _FAULTS + "freeze_entry")
 def freeze_owner(setting, state):
     """The first owner freezes."""
     if state.faults and records.may_act(state.first) and not state.first.unchecked:
@@ -183,7 +185,7 @@
         )
 
 
-@_action("cut", "jujubeglade.fakes.direct_site:MemoryLink.abort")
+@_action("cut", _FAULTS + "reset_link")
 def cut(setting, state):
     """The link between the first owner and an agent fails."""
     if not state.faults:
@@ -232,7 +234,7 @@
     return f"worker {number} starts the task for B", started._replace(second=number)
 
 
-@_action("start_held", "jujubeglade.direct.runner:Runner.begin")
+@_action("start_held", _RUNNER + "_admit_held")
 def start_held(setting, state):
     """An agent starts an attempt that it has held."""
     for number, worker in enumerate(state.workers):
--- a/packages/bench/src/jujubeglade/model/_resubmission_time.py
+++ b/packages/bench/src/jujubeglade/model/_resubmission_time.py
@@ -7,7 +7,7 @@
 ACTIONS = []
 
 
-@spec.action(ACTIONS, "tick", "jujubeglade.direct.worker_lease:WorkerLease.has_lapsed")
+@spec.action(ACTIONS, "tick", "jujubeglade.direct.runner:Runner._lease_limit_ms")
 def tick(setting, state):
     """A tick passes; whoever runs has done before what it must do at once."""
     if any(agents.must_drop(setting, worker) for worker in state.workers):
--- a/packages/bench/src/jujubeglade/model/registry.py
+++ b/packages/bench/src/jujubeglade/model/registry.py
@@ -6,9 +6,17 @@
 import functools
 import importlib
 
-from jujubeglade.model import commands, direct, drain, leave, ownership
-
-_MODULES = (ownership, drain, commands, leave, direct)
+from jujubeglade.model import (
+    commands,
+    direct,
+    drain,
+    late_calls,
+    leave,
+    ownership,
+    resubmission,
+)
+
+_MODULES = (ownership, drain, commands, leave, direct, resubmission, late_calls)
 
 
 def specifications():
