Count a lease from the answer that makes a late call void

Callers would have seen a task placed again up to 300 ms before its first run ended.

Cause: when an answer made a call without an answer void, the lease counted from the sending of that call, although it may have been executed just before the answer.

--- a/packages/bench/src/jujubeglade/model/_resubmission_owners.py
+++ b/packages/bench/src/jujubeglade/model/_resubmission_owners.py
@@ -92,7 +92,7 @@
             yield f"A closes the link of {number}", closed
 
 
-@_action("relink", _DISPATCHER + "_halt_unwanted")
+@_action("relink", _DISPATCHER + "_halt_all")
 def relink(setting, state):
     """An agent dials the first owner again."""
     first = state.first
--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -99,7 +99,12 @@
           token: An integer, the fencing token of the poll.
         """
         self._answered_ms = now_ms
-        self._open = [extension for extension in self._open if extension.token >= token]
+        still_open = [extension for extension in self._open if extension.token >= token]
+        if len(still_open) < len(self._open):
+            # One that is void from now on may have been executed just before.
+            latest_ms = now_ms + _longest_ms(self._lease_ms)
+            self._expires_ms = max(self._expires_ms, latest_ms)
+        self._open = still_open
 
     def close(self, extension):
         """Record that the call of an extension was answered, or was not sent.
