--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -11,7 +11,8 @@
 | an attempt reported as ended has ended   | the worker's list, its next incarnation,  |
 |                                          | or a lease that expired on its own clock  |
 | nothing runs for a lost owner            | owners that fall silent are dropped, and  |
-|                                          | silence is checked before each start      |
+|                                          | the lease expires before their clients'   |
+|                                          | next submissions can start                |
 
 A runner has no state after a restart. It starts nothing until the worker, under a
 higher fencing token, has listed its running attempts and these have been stopped.
