Test that time stands still for an attempt once it is halted

No test failed with `self._alive_ms = self.owner.alive_ms` left out of Attempt.halt. Now a client leaves an entry that stays alive, all stops are lost, and the client submits to the other entry 1,300 ms later. With it the lease has ended.

With the line deleted in a scratch copy (trial), direct, direct_links and direct_faults had one failing scenario, this row; none without the deletion.

--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -159,3 +159,9 @@
         return True
 
     return ((runner.Runner, "drop_owner", drop_owner),)
+
+
+@_mutant("the time that counts for a halted attempt stands still")
+def _count_on_after_halt():
+    alive_ms = property(lambda self: self.owner.alive_ms)
+    return ((attempt.Attempt, "owner_alive_ms", alive_ms),)
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -9,6 +9,7 @@
 
 _situations = {}
 _LONG_RUN_MS = 2500
+_PATIENT_CLIENT_MS = 15_000
 
 
 def situation(rule):
@@ -177,6 +178,41 @@
     await asyncio.sleep(1)
 
 
+@situation("the time that counts for a halted attempt stands still")
+async def leave_and_lose_stops(site):
+    """Lose all stops of a job whose client leaves and resubmits at another entry."""
+    submission, answer_task = await _submit_to_first(site, _LONG_RUN_MS)
+    site.nodes[0].worker.lost_stop_share = 1.0
+    answer_task.cancel()
+    await asyncio.sleep(1.3)
+    await _resubmit_elsewhere(site, 1, submission)
+
+
+async def _submit_to_first(site, run_ms, entry=0, tasks=4):
+    """Submit a job whose tasks an entry places on the first worker."""
+    _, *others = (node.worker for node in site.nodes)
+    _drain(others, draining=True)
+    await asyncio.sleep(0.05)
+    _, dispatcher = site.entries[entry]
+    submission = site.submission(tasks, 4000, run_ms, _PATIENT_CLIENT_MS)
+    answer_task = asyncio.create_task(dispatcher.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(0.005)
+    _drain(others, draining=False)
+    return submission, answer_task
+
+
+async def _resubmit_elsewhere(site, entry, submission):
+    """Submit a job again, whose tasks are placed on other workers than the first."""
+    first, *_ = (node.worker for node in site.nodes)
+    first.draining = True
+    first.report()
+    _, dispatcher = site.entries[entry]
+    resubmitted = asyncio.create_task(dispatcher.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(1)
+    resubmitted.cancel()
+    await asyncio.sleep(0.5)
+
+
 def _break_links(site, entry):
     identity, _ = site.entries[entry]
     for node in site.nodes:
