Test that an unanswered poll raises the fencing token

Now three polls, 950 ms apart, are executed 2,400 ms late, and the worker answers nothing after they were sent. No other rule is left out.

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -94,6 +94,7 @@
       | the lease ends before a client's next submission can start                    |
       | a halt that was lost with its link is repeated                                |
       | a dropped owner is kept until its attempts have ended                         |
+      | the fencing token rises after a poll without an answer                        |
       | the time that counts for a halted attempt stands still                        |
 
   Scenario: Most jobs meet their objective while one worker of four is ten times slower
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -1,5 +1,6 @@
 """Rules of direct jobs that can be disabled, to show that the tests detect it."""
 
+import inspect
 import math
 
 from jujubeglade.direct import attempt, contract, dispatcher, fleet, owners, runner
@@ -161,6 +162,17 @@
     return ((runner.Runner, "drop_owner", drop_owner),)
 
 
+@_mutant("the fencing token rises after a poll without an answer")
+def _keep_token_after_poll():
+    original = runner.Runner._raise_token
+
+    def raise_token(self, token):
+        if inspect.currentframe().f_back.f_code.co_name != "_poll_once":
+            original(self, token)
+
+    return ((runner.Runner, "_raise_token", raise_token),)
+
+
 @_mutant("the time that counts for a halted attempt stands still")
 def _count_on_after_halt():
     alive_ms = property(lambda self: self.owner.alive_ms)
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -178,6 +178,22 @@
     await asyncio.sleep(1)
 
 
+@situation("the fencing token rises after a poll without an answer")
+async def extend_late(site):
+    """Have a worker execute three polls late, each before its lease expires."""
+    first, *_ = (node.worker for node in site.nodes)
+    first.late_lease_shifts = True
+    first.late_ms = (2400, 2400)
+    await _submit_to_first(site, 12_000)
+    for _ in range(3):
+        first.late_poll_share = 1.0
+        await asyncio.sleep(0.3)
+        first.late_poll_share = 0.0
+        await asyncio.sleep(0.65)
+    first.silent = True
+    await asyncio.sleep(6)
+
+
 @situation("the time that counts for a halted attempt stands still")
 async def leave_and_lose_stops(site):
     """Lose all stops of a job whose client leaves and resubmits at another entry."""
