Test that a start is refused under a lease that outlives its owner's last sign

Now messages of entry 0 arrive 540 ms late, and agent 0 gets a start of it, then the halt, while a run of entry 1 keeps the lease in force; stops are lost, and the client submits to entry 1. With it both are refused as owner_unheard, by the log. Links of the stand-in have a delay of their own for that, which may be raised.

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -95,6 +95,7 @@
       | a halt that was lost with its link is repeated                                |
       | a dropped owner is kept until its attempts have ended                         |
       | the fencing token rises after a poll without an answer                        |
+      | a start is refused when the lease outlives what its owner is alive for        |
       | the time that counts for a halted attempt stands still                        |
 
   Scenario: Most jobs meet their objective while one worker of four is ten times slower
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -173,6 +173,19 @@
     return ((runner.Runner, "_raise_token", raise_token),)
 
 
+@_mutant("a start is refused when the lease outlives what its owner is alive for")
+def _start_under_any_lease():
+    original = runner.Runner._lease_limit_ms
+
+    def lease_limit_ms(self, attempts):
+        # Only `_start` asks for the limit of a single attempt, as a tuple.
+        if isinstance(attempts, tuple):
+            return math.inf
+        return original(self, attempts)
+
+    return ((runner.Runner, "_lease_limit_ms", lease_limit_ms),)
+
+
 @_mutant("the time that counts for a halted attempt stands still")
 def _count_on_after_halt():
     alive_ms = property(lambda self: self.owner.alive_ms)
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -194,6 +194,23 @@
     await asyncio.sleep(6)
 
 
+@situation("a start is refused when the lease outlives what its owner is alive for")
+async def start_late(site):
+    """Have a start of a client that leaves reach an agent late, which runs others."""
+    await _submit_to_first(site, _LONG_RUN_MS, entry=1, tasks=1)
+    node, *_ = site.nodes
+    identity, _ = site.entries[0]
+    entry_end = node.owners[identity.incarnation].link.peer
+    for delay_ms in (250, 540):
+        entry_end.delay_ms = delay_ms
+        await asyncio.sleep(0.4)
+    node.worker.lost_stop_share = 1.0
+    submission, answer_task = await _submit_to_first(site, _LONG_RUN_MS, tasks=2)
+    answer_task.cancel()
+    await asyncio.sleep(1.3)
+    await _resubmit_elsewhere(site, 1, submission)
+
+
 @situation("the time that counts for a halted attempt stands still")
 async def leave_and_lose_stops(site):
     """Lose all stops of a job whose client leaves and resubmits at another entry."""
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -39,6 +39,7 @@
         "_loop",
         "_peer",
         "_in_transit",
+        "delay_ms",
         "last_received_ms",
         "is_open",
         "remote",
@@ -53,6 +54,8 @@
         """
         self.remote = remote
         self.is_open = True
+        #: The delay of the messages sent from this end, which may only be raised.
+        self.delay_ms = _DELAY_MS
         self._handler = handler
         self._peer = None
         self._in_transit = collections.deque()
@@ -64,11 +67,16 @@
         """Set the other end."""
         self._peer = peer
 
+    @property
+    def peer(self):
+        """Return the other end."""
+        return self._peer
+
     def send(self, body, encoded=None):
         """Deliver a message after the delay, if the link is still open then."""
         if self.is_open:
             self._in_transit.append(body)
-            self._loop.call_later(clock.seconds(_DELAY_MS), self._deliver)
+            self._loop.call_later(clock.seconds(self.delay_ms), self._deliver)
         return self.is_open
 
     def _deliver(self):
