Test the pace of stops without an answer apart from the lease bound

"The attempts of a lost entry end before its clients submit again though many of the stops are lost" passes at the old pace, since the lease ends the runs. A second outline leaves out an overlapping rule in both halves, so that the rule in question has to prevent the violation by itself. Its row: the first ten stops of each run are lost, which takes 400 ms at 40 ms each.

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -98,6 +98,20 @@
       | a start is refused when the lease outlives what its owner is alive for        |
       | the time that counts for a halted attempt stands still                        |
 
+  Scenario Outline: Each rule prevents a violation in some situation while a rule that overlaps it is left out
+    Given a site of 2 entries and 3 workers of 16 cores
+    And the rule "<overlapping rule>" is left out
+    When the situation that depends on "<rule>" occurs
+    Then no worker recorded a violation
+    Given the rule "<rule>" is left out
+    And a site of 2 entries and 3 workers of 16 cores
+    When the situation that depends on "<rule>" occurs
+    Then some worker recorded two concurrent runs of a task or load above its capacity
+
+    Examples:
+      | rule                                            | overlapping rule                                           |
+      | a stop without an answer is repeated each 40 ms | the lease ends before a client's next submission can start |
+
   Scenario: Most jobs meet their objective while one worker of four is ten times slower
     Given a site of 2 entries and 4 workers of 16 cores
     And tasks on worker 0 take 10 times as long
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -1,9 +1,23 @@
 """Rules of direct jobs that can be disabled, to show that the tests detect it."""
 
+import asyncio
 import inspect
 import math
 
-from jujubeglade.direct import attempt, contract, dispatcher, fleet, owners, runner
+from jujubeglade.core import clock
+from jujubeglade.direct import (
+    attempt,
+    contract,
+    dispatcher,
+    fleet,
+    owners,
+    runner,
+    stops,
+    worker,
+)
+
+#: The pause between two calls of `_stop_one_by_one` after an answer.
+_STOP_RETRY_MS = 120
 
 _mutants = {}
 
@@ -173,6 +187,16 @@
     return ((runner.Runner, "_raise_token", raise_token),)
 
 
+@_mutant("a stop without an answer is repeated each 40 ms")
+def _stop_one_by_one():
+    async def repeat(stop, is_needed, background):
+        while is_needed():
+            if await stop() is not worker.Answer.UNKNOWN:
+                await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
+
+    return ((stops, "repeat", repeat),)
+
+
 @_mutant("a start is refused when the lease outlives what its owner is alive for")
 def _start_under_any_lease():
     original = runner.Runner._lease_limit_ms
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -194,6 +194,16 @@
     await asyncio.sleep(6)
 
 
+@situation("a stop without an answer is repeated each 40 ms")
+async def lose_entry_and_first_stops(site):
+    """Kill an entry whose client resubmits elsewhere; the first stops are lost."""
+    submission, _ = await _submit_to_first(site, _LONG_RUN_MS)
+    site.nodes[0].worker.lost_first_stops = 10
+    site.lose_entry(0)
+    await asyncio.sleep(1.3)
+    await _resubmit_elsewhere(site, 0, submission)
+
+
 @situation("a start is refused when the lease outlives what its owner is alive for")
 async def start_late(site):
     """Have a start of a client that leaves reach an agent late, which runs others."""
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextvars
 import dataclasses
 
@@ -114,6 +115,8 @@
         self.late_start_share = 0.0
         #: The share of stops that get no answer and are not executed.
         self.lost_stop_share = 0.0
+        #: How many stops of each run are lost before one is executed.
+        self.lost_first_stops = 0
         #: The share of stops that get no answer and are executed late.
         self.late_stop_share = 0.0
         #: The share of polls that get no answer and are not executed.
@@ -148,6 +151,8 @@
         self._attempts = {}
         self._finished = []
         self._ended_runs = {}
+        # The number of stops of each run, by pairs of a TaskName and a run.
+        self._stop_counts = collections.Counter()
         self._end_count = 0
         self._token = 0
         self._lease_until_ms = 0
@@ -222,7 +227,9 @@
 
     async def stop(self, target, task, run):
         """Stop an attempt; see `WorkerClient.stop`."""
-        if self.silent or self._rng.random() < self.lost_stop_share:
+        self._stop_counts[task, run] += 1
+        is_early = self._stop_counts[task, run] <= self.lost_first_stops
+        if self.silent or is_early or self._rng.random() < self.lost_stop_share:
             return await self._time_out(worker.Reply, _STOP_ANSWER_TIMEOUT_MS)
         if self.late_stop_share and self._rng.random() < self.late_stop_share:
             late_ms = self._rng.uniform(*self.late_ms)
