Test that runs of other owners outlast an owner without echoes

Now the messages of agent 0 to entry 0 become slow, by 1,500 ms in the end, while those of entry 0 arrive in time.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -118,3 +118,18 @@
       | 2    |
       | 10   |
       | 16   |
+
+  Scenario: An owner whose echoes have stopped doesn't end the runs of other owners
+    Given a site of 2 entries and 1 workers of 16 cores
+    When entry 0 gets a job of 2 tasks of 4 cores for 4000 ms
+    And entry 1 gets a job of 2 tasks of 4 cores for 4000 ms
+    And the messages of agent 0 to entry 0 slow down by 300 ms every 400 ms up to 1500 ms
+    Then job 1 is completed within 4100 ms
+
+  Scenario: The runs of other owners end if an owner whose echoes have stopped doesn't count as lost
+    Given a site of 2 entries and 1 workers of 16 cores
+    And the rule "an owner whose echoes have stopped counts as lost" is left out
+    When entry 0 gets a job of 2 tasks of 4 cores for 4000 ms
+    And entry 1 gets a job of 2 tasks of 4 cores for 4000 ms
+    And the messages of agent 0 to entry 0 slow down by 300 ms every 400 ms up to 1500 ms
+    Then job 1 is unfinished within 5000 ms
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -197,6 +197,11 @@
     return ((stops, "repeat", repeat),)
 
 
+@_mutant("an owner whose echoes have stopped counts as lost")
+def _ignore_echo_age():
+    return ((owners, "_MAX_ECHO_AGE_MS", math.inf),)
+
+
 @_mutant("a start is refused when the lease outlives what its owner is alive for")
 def _start_under_any_lease():
     original = runner.Runner._lease_limit_ms
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -100,11 +100,28 @@
     owner.alive_ms = context.site.clock.elapsed_ms() - ms
 
 
+@when(
+    "the messages of agent {index:d} to entry {entry:d} slow down by {step_ms:d} ms "
+    "every {interval_ms:d} ms up to {last_ms:d} ms"
+)
+def step_slow_down(context, index, entry, step_ms, interval_ms, last_ms):
+    identity, _ = context.site.entries[entry]
+    agent_end = context.site.nodes[index].owners[identity.incarnation].link
+    delays_ms = range(step_ms, last_ms + 1, step_ms)
+    context.runner.run(_slow_down(agent_end, delays_ms, interval_ms))
+
+
 @when("agent {index:d} reaches entry {entry:d} again")
 def step_reach_again(context, index, entry):
     context.runner.run(_reach_again(context.site, index, entry))
 
 
+async def _slow_down(agent_end, delays_ms, interval_ms):
+    for delay_ms in delays_ms:
+        agent_end.delay_ms = delay_ms
+        await asyncio.sleep(interval_ms / 1000)
+
+
 async def _reach_again(site, index, entry):
     identity, dispatcher = site.entries[entry]
     site.connect(site.nodes[index], identity, dispatcher)
