--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -1,8 +1,23 @@
 """Rules of direct jobs that can be disabled, to show that the tests detect it."""
 
+import asyncio
+import inspect
 import math
 
-from jujubeglade.direct import attempt, contract, dispatcher, fleet, owners, runner
+from jujubeglade.core import clock
+from jujubeglade.direct import (
+    attempt,
+    contract,
+    dispatcher,
+    fleet,
+    owners,
+    runner,
+    stops,
+    worker,
+)
+
+#: The pause between two calls of `_stop_one_by_one` after an answer.
+_STOP_RETRY_MS = 120
 
 _mutants = {}
 
@@ -159,3 +174,48 @@
         return True
 
     return ((runner.Runner, "drop_owner", drop_owner),)
+
+
+@_mutant("the fencing token rises after a poll without an answer")
+def _keep_token_after_poll():
+    original = runner.Runner._raise_token
+
+    def raise_token(self, token):
+        if inspect.currentframe().f_back.f_code.co_name != "_poll_once":
+            original(self, token)
+
+    return ((runner.Runner, "_raise_token", raise_token),)
+
+
+@_mutant("a stop without an answer is repeated each 40 ms")
+def _stop_one_by_one():
+    async def repeat(stop, is_needed, background):
+        while is_needed():
+            if await stop() is not worker.Answer.UNKNOWN:
+                await asyncio.sleep(clock.seconds(_STOP_RETRY_MS))
+
+    return ((stops, "repeat", repeat),)
+
+
+@_mutant("an owner whose echoes have stopped counts as lost")
+def _ignore_echo_age():
+    return ((owners, "_MAX_ECHO_AGE_MS", math.inf),)
+
+
+@_mutant("a start is refused when the lease outlives what its owner is alive for")
+def _start_under_any_lease():
+    original = runner.Runner._lease_limit_ms
+
+    def lease_limit_ms(self, attempts):
+        # Only `_start` asks for the limit of a single attempt, as a tuple.
+        if isinstance(attempts, tuple):
+            return math.inf
+        return original(self, attempts)
+
+    return ((runner.Runner, "_lease_limit_ms", lease_limit_ms),)
+
+
+@_mutant("the time that counts for a halted attempt stands still")
+def _count_on_after_halt():
+    alive_ms = property(lambda self: self.owner.alive_ms)
+    return ((attempt.Attempt, "owner_alive_ms", alive_ms),)
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -9,6 +9,7 @@
 
 _situations = {}
 _LONG_RUN_MS = 2500
+_PATIENT_CLIENT_MS = 15_000
 
 
 def situation(rule):
@@ -177,6 +178,84 @@
     await asyncio.sleep(1)
 
 
+@situation("the fencing token rises after a poll without an answer")
+async def extend_late(site):
+    """Have a worker execute three polls late, each before its lease expires."""
+    first, *_ = (node.worker for node in site.nodes)
+    first.late_lease_shifts = True
+    first.late_ms = (2400, 2400)
+    await _submit_to_first(site, 12_000)
+    for _ in range(3):
+        first.late_poll_share = 1.0
+        await asyncio.sleep(0.3)
+        first.late_poll_share = 0.0
+        await asyncio.sleep(0.65)
+    first.silent = True
+    await asyncio.sleep(6)
+
+
+@situation("a stop without an answer is repeated each 40 ms")
+async def lose_entry_and_first_stops(site):
+    """Kill an entry whose client resubmits elsewhere; the first stops are lost."""
+    submission, _ = await _submit_to_first(site, _LONG_RUN_MS)
+    site.nodes[0].worker.lost_first_stops = 10
+    site.lose_entry(0)
+    await asyncio.sleep(1.3)
+    await _resubmit_elsewhere(site, 0, submission)
+
+
+@situation("a start is refused when the lease outlives what its owner is alive for")
+async def start_late(site):
+    """Have a start of a client that leaves reach an agent late, which runs others."""
+    await _submit_to_first(site, _LONG_RUN_MS, entry=1, tasks=1)
+    node, *_ = site.nodes
+    identity, _ = site.entries[0]
+    entry_end = node.owners[identity.incarnation].link.peer
+    for delay_ms in (250, 540):
+        entry_end.delay_ms = delay_ms
+        await asyncio.sleep(0.4)
+    node.worker.lost_stop_share = 1.0
+    submission, answer_task = await _submit_to_first(site, _LONG_RUN_MS, tasks=2)
+    answer_task.cancel()
+    await asyncio.sleep(1.3)
+    await _resubmit_elsewhere(site, 1, submission)
+
+
+@situation("the time that counts for a halted attempt stands still")
+async def leave_and_lose_stops(site):
+    """Lose all stops of a job whose client leaves and resubmits at another entry."""
+    submission, answer_task = await _submit_to_first(site, _LONG_RUN_MS)
+    site.nodes[0].worker.lost_stop_share = 1.0
+    answer_task.cancel()
+    await asyncio.sleep(1.3)
+    await _resubmit_elsewhere(site, 1, submission)
+
+
+async def _submit_to_first(site, run_ms, entry=0, tasks=4):
+    """Submit a job whose tasks an entry places on the first worker."""
+    _, *others = (node.worker for node in site.nodes)
+    _drain(others, draining=True)
+    await asyncio.sleep(0.05)
+    _, dispatcher = site.entries[entry]
+    submission = site.submission(tasks, 4000, run_ms, _PATIENT_CLIENT_MS)
+    answer_task = asyncio.create_task(dispatcher.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(0.005)
+    _drain(others, draining=False)
+    return submission, answer_task
+
+
+async def _resubmit_elsewhere(site, entry, submission):
+    """Submit a job again, whose tasks are placed on other workers than the first."""
+    first, *_ = (node.worker for node in site.nodes)
+    first.draining = True
+    first.report()
+    _, dispatcher = site.entries[entry]
+    resubmitted = asyncio.create_task(dispatcher.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(1)
+    resubmitted.cancel()
+    await asyncio.sleep(0.5)
+
+
 def _break_links(site, entry):
     identity, _ = site.entries[entry]
     for node in site.nodes:
