Offer no room while a lease could hardly be extended

Callers saw nothing; agents and entries exchanged up to 38 refusals of one attempt in 10 ms.

Cause: the room was open while the lease could be extended by anything, but an extension by less than 21 ms is none, as the margins for a slow clock use it up. The start was refused, the refusal brought the room, and the entry tried again.

Evidence: 'An agent offers no room while it could hardly extend its worker's lease' failed before. Below 100 ms the room is closed now; a start under so short a lease would be cut short anyway.

--- a/features/direct_links.feature
+++ b/features/direct_links.feature
@@ -27,6 +27,13 @@
     And agent 0 reaches entry 0 again
     Then job 0 is completed within 2600 ms
 
+  Scenario: An agent offers no room while it could hardly extend its worker's lease
+    Given a site of 1 entries and 1 workers of 16 cores
+    When entry 0 gets a job of 2 tasks of 4 cores for 2500 ms
+    And 110 ms pass on the site
+    And the last echo of entry 0 at agent 0 is 1240 ms old
+    Then agent 0 offers entry 0 no room
+
   Scenario: A task that still runs for another entry waits at the agent until that has ended
     Given a site of 2 entries and 2 workers of 16 cores
     When worker 1 reports that it drains
--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from behave import given, when
+from behave import given, then, when
 
 from jujubeglade.direct import worker
 from jujubeglade.fakes import direct_site
@@ -111,6 +111,13 @@
     context.runner.run(_slow_down(agent_end, delays_ms, interval_ms))
 
 
+@then("agent {index:d} offers entry {entry:d} no room")
+def step_no_room(context, index, entry):
+    identity, _ = context.site.entries[entry]
+    node = context.site.nodes[index]
+    assert not node.room(node.owners[identity.incarnation]).accepting
+
+
 @when("agent {index:d} reaches entry {entry:d} again")
 def step_reach_again(context, index, entry):
     context.runner.run(_reach_again(context.site, index, entry))
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -46,6 +46,8 @@
 _SWEEP_INTERVAL_MS = 50
 #: The worker lease expires this long before a client's next submission can start.
 _RESUBMIT_MARGIN_MS = 50
+#: Nothing starts while the lease could be extended by less than this.
+_MIN_LEASE_LIMIT_MS = 100
 #: How long a new instance is relied on before it reports. A worker that is about to
 #: leave reports so within this time after an agent restarts.
 _UNCONFIRMED_LIMIT_MS = 2000
@@ -364,7 +366,7 @@
             return contract.Refusal.NO_WORKER
         if self._foreign:
             return contract.Refusal.NO_WORKER
-        if self._lease_limit_ms(self._attempts.values()) <= 0:
+        if self._lease_limit_ms(self._attempts.values()) < _MIN_LEASE_LIMIT_MS:
             return contract.Refusal.NO_WORKER
         if self._report.draining:
             return contract.Refusal.DRAINING
