--- a/features/run.py
+++ b/features/run.py
@@ -59,6 +59,24 @@
                 yield element["name"].strip(), element.get("status", "undefined")
 
 
+def failures(report):
+    """Yield a text for each step that failed in a behave report.
+
+    Args:
+      report: A list of features, as behave's json formatter writes them.
+    """
+    for feature in report:
+        for element in feature.get("elements", ()):
+            for step in element.get("steps", ()):
+                result = step.get("result", {})
+                if result.get("status") not in ("failed", "error"):
+                    continue
+                # behave writes a long message as a list of lines.
+                message = result.get("error_message", "")
+                text = message if isinstance(message, str) else "\n".join(message)
+                yield f"{element['name'].strip()}: {step['name']}\n{text}"
+
+
 def behave_arguments(arguments):
     """Divide the run into processes of behave.
 
@@ -133,8 +151,9 @@
             text = path.read_text(encoding="utf-8") if path.exists() else ""
     finally:
         port_ranges.give_back(number)
-    print(process.stdout, flush=True)
-    results = list(scenarios(json.loads(text or "[]")))
+    report = json.loads(text or "[]")
+    print(process.stdout, *failures(report), sep="\n", flush=True)
+    results = list(scenarios(report))
     passed = all(status in ("passed", "skipped") for _, status in results)
     return results, process.returncode != 0 and passed
 
