Keep a case that no agent can answer: a reborn worker executes a fenced start

Callers: a task could run twice when its worker restarted under its id just before it executed a start that had got no answer, had been fenced off, and had been placed elsewhere.

Cause: the fence is in the worker's memory, and a call names the worker's id, not its start. The end of the lease in the call doesn't help, as the clock of the new incarnation begins anew.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -60,3 +60,8 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "starts are late, their agent's clock is set back and its worker is reborn" occurs
     Then no worker recorded a violation
+
+  Scenario: A start that a reborn worker executes late makes no task run twice
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a start that was fenced off reaches the worker's next incarnation" occurs
+    Then no worker recorded a violation
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -246,3 +246,23 @@
     await asyncio.sleep(3)
     for client in clients:
         client.cancel()
+
+
+@fault("a start that was fenced off reaches the worker's next incarnation")
+async def crash_before_late_start(site):
+    """Crash worker 0 before it executes a start that has been placed elsewhere."""
+    host = site.agents[0]
+    host.worker.checks_incarnation = False
+    host.worker.late_start_share = 1.0
+    host.worker.late_ms = (900, 900)
+    _drain(site.agents[1].worker, draining=True)
+    await asyncio.sleep(0.1)
+    submission = site.submission(1, _CORES, _RUN_MS, _CLIENT_TIMEOUT_MS)
+    direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(0.05)
+    host.worker.late_start_share = 0.0
+    _drain(site.agents[1].worker, draining=False)
+    _drain(host.worker, draining=True)
+    await asyncio.sleep(0.845)
+    host.worker.crash(reports=False)
+    await asyncio.sleep(3)
--- a/features/direct_random_faults.feature
+++ b/features/direct_random_faults.feature
@@ -45,3 +45,14 @@
       | 5    |
       | 6    |
       | 7    |
+
+  Scenario Outline: Rare faults make no task run twice
+    Given a field of 2 entries and 3 workers of 16 cores with seed <seed>
+    When random and rare faults occur for 40 s
+    Then no worker recorded a violation
+    And at least 60 faults were played and 70 jobs were completed
+
+    Examples:
+      | seed |
+      | 1    |
+      | 3    |
--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -5,7 +5,12 @@
 from behave import given, then, when
 from features import direct_faults
 
-from jujubeglade.fakes import direct_field, direct_random_faults, virtual_process
+from jujubeglade.fakes import (
+    direct_field,
+    direct_random_faults,
+    direct_rare_faults,
+    virtual_process,
+)
 
 
 @given("a field of {entries:d} entries and {workers:d} workers of {cores:d} cores")
@@ -28,6 +33,15 @@
     )
 
 
+@when("random and rare faults occur for {seconds:d} s")
+def step_rare_faults(context, seconds):
+    context.played = context.runner.run(
+        direct_random_faults.random_faults(
+            context.site, context.seed, seconds, direct_rare_faults.RareFaults
+        )
+    )
+
+
 @then("at least {faults:d} faults were played and {jobs:d} jobs were completed")
 def step_played(context, faults, jobs):
     assert len(context.played.faults) >= faults, len(context.played.faults)
