--- a/features/platform.feature
+++ b/features/platform.feature
@@ -78,8 +78,28 @@
     Given a platform site of 2 entries and 2 workers
     When the store stops answering entry 0
     And the operator moves the route to /parts/
-    And a client sends GET /parts/ with {}
-    Then the client gets 200
+    Then entry 0 answers GET /parts/ with 200 within 2000 ms
+
+  Scenario: A process that the store does not answer receives a large configuration once, from one peer
+    Given a platform site of 3 entries and 6 workers
+    When the store stops answering entry 0
+    And the operator adds 1844 routes and moves the route to /parts/
+    Then entry 0 answers GET /parts/ with 200 within 2000 ms
+    And processes have sent each other the routes 1 times
+
+  Scenario: A large configuration is read from the store alone
+    Given a platform site of 3 entries and 6 workers
+    When the operator adds 1844 routes and moves the route to /parts/
+    Then entry 0 answers GET /parts/ with 200 within 2000 ms
+    And entry 1 answers GET /parts/ with 200 within 2000 ms
+    And entry 2 answers GET /parts/ with 200 within 2000 ms
+    And processes have sent each other the routes 0 times
+
+  Scenario: A configuration that takes longer to transfer than the store's timeout is received
+    Given a platform site of 1 entries and 1 workers
+    When the store sends 160000 bytes a second
+    And the operator adds 1844 routes and moves the route to /parts/
+    Then entry 0 answers GET /parts/ with 200 within 7000 ms
 
   Scenario: A process that starts during a store outage receives its state from its peers
     Given a platform site of 2 entries and 2 workers
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,7 +12,7 @@
 
 from behave import given, then, when
 
-from jujubeglade.core import log
+from jujubeglade.core import link, log
 from jujubeglade.direct import job, report_cache, worker
 from jujubeglade.fakes import platform_site
 
@@ -76,6 +76,22 @@
     _wait(context, _SETTLE_S)
 
 
+@when("the operator adds {count:d} routes and moves the route to {prefix}")
+def step_add_routes(context, count, prefix):
+    link.sent_counts.clear()
+    context.site.configure(count, prefix=prefix)
+
+
+@when("the store sends {rate:d} bytes a second")
+def step_slow_store(context, rate):
+    context.site.store.bytes_per_s = rate
+
+
+@then("processes have sent each other the routes {count:d} times")
+def step_sent_routes(context, count):
+    assert link.sent_counts["Configuration"] == count, link.sent_counts
+
+
 @when("the operator evacuates {zone}")
 def step_evacuate(context, zone):
     context.site.store.put(f"op/evacuate/{zone}", {})
--- a/packages/bench/src/jujubeglade/fakes/platform_site.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_site.py
@@ -99,10 +99,11 @@
             await process.close()
         await self.store.close()
 
-    def configure(self, **changes):
+    def configure(self, extra_routes=0, **changes):
         """Write the next version of the configuration.
 
         Args:
+          extra_routes: An integer, the number of routes without traffic.
           **changes: Fields of the route that differ from the defaults below.
         """
         self._version += 1
@@ -121,7 +122,7 @@
         service = {"name": _SERVICE, "healthPath": "/health", "admissionCheck": False}
         fields = {
             "version": self._version,
-            "routes": [route | changes],
+            "routes": [route | changes, *_idle_routes(route, extra_routes)],
             "services": [service],
             "limits": {"maxBodyBytes": 262144},
         }
@@ -220,6 +221,22 @@
             return answer.status
 
 
+def _idle_routes(route, count):
+    """Copy a route under other names and hosts.
+
+    Args:
+      route: A dict.
+      count: An integer.
+
+    Returns:
+      A list of dicts.
+    """
+    return [
+        route | {"name": f"r-idle-{index}", "host": f"idle-{index}.example"}
+        for index in range(count)
+    ]
+
+
 def job(count, cores, run_ms, **changes):
     """Build the body of a submission with one step.
 
--- a/packages/bench/src/jujubeglade/fakes/platform_store.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_store.py
@@ -15,6 +15,8 @@
 #: Longer than any caller waits for an answer.
 _NO_ANSWER_S = 3600.0
 _MAX_HISTORY_EVENTS = 10_000
+#: The size of the pieces in which bodies are sent slowly.
+_PIECE_BYTES = 8192
 
 
 class PlatformStore:
@@ -31,6 +33,8 @@
         #: The ports on which calls fail; empty for all ports.
         self.faulty_ports = frozenset()
         self.delay_ms = 0
+        #: The rate at which bodies are sent; 0 for at once.
+        self.bytes_per_s = 0
         #: Every n-th change is applied and not answered; 0 for none.
         self.lose_every = 0
         #: The delay before such a change, whose condition must hold then; 0 for none.
@@ -124,8 +128,22 @@
         response = await handler(request)
         if request.transport in self._silent:
             await asyncio.sleep(_NO_ANSWER_S)
+        if self.bytes_per_s:
+            return await self._send_slowly(request, response)
         return response
 
+    async def _send_slowly(self, request, response):
+        """Send a body in pieces, as over a connection of little bandwidth."""
+        slow = web.StreamResponse(status=response.status)
+        slow.content_length = len(response.body)
+        await slow.prepare(request)
+        for start in range(0, len(response.body), _PIECE_BYTES):
+            piece = response.body[start : start + _PIECE_BYTES]
+            await slow.write(piece)
+            await asyncio.sleep(len(piece) / self.bytes_per_s)
+        await slow.write_eof()
+        return slow
+
     def _is_faulty(self, request):
         return not self.faulty_ports or _port(request) in self.faulty_ports
 
