Keep routes off the links that carry heartbeats

Every agent sent the whole operators' state to every entry, every entry to every agent, again with each heartbeat until the peer's next one showed the revision, and again from nothing on each new link. The copies queued before heartbeats on links of 2 to 25 Mbit/s; 600 ms of that counts as silence, the new link begins with the same transfer, and it never ends.

The state is now two views. Evacuations are small; peers exchange them, and the list of entries, by the revisions in their heartbeats, once on each link. The configuration stays with entries, which read it from the store; agents no longer watch it, as they need no routes. An entry that hears of a newer one and does not get it from the store within 500 ms asks one other entry after the other over a connection of its own, with growing, partly random pauses.

A configuration is also no longer decoded again when an evacuation changes, and a request finds its route by host and prefix instead of reading all routes.

Ruled out: copies at agents (at 2,300 workers a gigabyte for each change), pieces on the same link (still behind each other on a slow one). The price: if all entries restart while the store is away for all of them, agents can no longer tell them the routes; they answer 503 until it returns.

--- a/packages/bench/src/jujubeglade/fakes/direct_field.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_field.py
@@ -190,7 +190,7 @@
         self._revision += 1
         names = [host.name for host in self.entries if not host.process.is_killed]
         views = (
-            route.OperatorState(self._revision, None, ()),
+            route.Evacuations(self._revision, ()),
             direct_processes.members(names, self._revision),
         )
         processes = [(host.process, host.entry) for host in self.entries]
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -35,8 +35,11 @@
 
     __slots__ = ()
 
-    def read_operators(self, entries, revision):
-        """Return None; the site offers the operators' state itself."""
+    def read_configuration(self, entry):
+        """Return None; the site offers the operators' views itself."""
+
+    def read_evacuations(self, keys, revision):
+        """Return None; the site offers the operators' views itself."""
 
     def new_worker_client(self, settings):
         """Return the worker in the settings."""
@@ -104,7 +107,7 @@
         """Take a view of the store.
 
         Args:
-          view: An OperatorState or a Members.
+          view: A Configuration, an Evacuations or a Members.
         """
         self._cluster_state.offer(view, "store")
 
@@ -160,7 +163,7 @@
         """Take a view of the store.
 
         Args:
-          view: An OperatorState or a Members.
+          view: An Evacuations or a Members.
         """
         self._cluster_state.offer(view, "store")
 
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -136,7 +136,7 @@
 
     def room(self, owner):
         """Build the room message for an entry."""
-        return self.runner.room(owner, 0, 0)
+        return self.runner.room(owner, 0, 0, 0)
 
 
 class Site:
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -122,25 +122,22 @@
 
     def _handle_beat(self, owner, beat):
         owner.note_beat(beat, self._clock.now_ms())
-        for view in self._cluster_state.newer_than(*owner.known_revisions):
-            owner.send(view)
+        owner.views.send_newer(self._cluster_state, owner.link)
 
     def _measure(self):
         """Set the gauges."""
         self._metrics.set(metrics.Gauge.RUNNING, self._runner.running)
         self._metrics.set(
-            metrics.Gauge.REVISION, self._cluster_state.operators.revision
+            metrics.Gauge.REVISION, self._cluster_state.evacuations.revision
         )
 
     def _is_evacuated(self):
         """Return whether the zone is out of service; true until that is known."""
-        operators = self._cluster_state.operators
-        return operators is route.NO_STATE or self._settings.zone in operators.evacuated
+        evacuations = self._cluster_state.evacuations
+        is_unknown = evacuations is route.NO_EVACUATIONS
+        return is_unknown or self._settings.zone in evacuations.zones
 
     def _on_cluster_state(self):
-        for owner in self._owners.values():
-            for view in self._cluster_state.newer_than(*owner.known_revisions):
-                owner.send(view)
         self._dial_entries()
         self._announcer.on_state_change()
 
@@ -192,8 +189,19 @@
 
     def _describe_room(self, owner):
         """Describe the room for an owner, with the revisions of the cluster state."""
-        revision = self._cluster_state.operators.revision
-        return self._runner.room(owner, revision, self._cluster_state.members.revision)
+        newest_configuration = max(
+            other.configuration_revision for other in self._owners.values()
+        )
+        return self._runner.room(
+            owner,
+            newest_configuration,
+            self._cluster_state.evacuations.revision,
+            self._cluster_state.members.revision,
+        )
+
+    def _operators_prefix(self):
+        """Return the prefix of the evacuations; an agent needs no routes."""
+        return self._platform.evacuations_prefix
 
     async def _tick(self):
         """Send heartbeats and drop lost owners, until cancelled."""
--- a/packages/dispatch/src/jujubeglade/direct/cluster_state.py
+++ b/packages/dispatch/src/jujubeglade/direct/cluster_state.py
@@ -1,9 +1,11 @@
-"""Cluster state: the operators' state and the entries, as this process received them.
+"""Cluster state: what this process knows of the operators' will and of the entries.
 
 Each view is complete at one revision of the store and is replaced only by a view of a
 higher revision, so that a process never goes back to an older one. Views come from the
 process's own watch of the store and from its peers, so that a process that can't use
-the store gets them too.
+the store gets them too: peers exchange evacuations and members with their heartbeats
+(`peer_views`), and an entry requests the configuration from another entry
+(`configuration_fetch`).
 """
 
 from jujubeglade.core import log
@@ -20,15 +22,21 @@
     def __init__(self):
         """Create a cluster state without views."""
         self._views = {
-            route.OperatorState: route.NO_STATE,
+            route.Configuration: route.NO_CONFIGURATION,
+            route.Evacuations: route.NO_EVACUATIONS,
             contract.Members: contract.NO_MEMBERS,
         }
         self._subscribers = []
 
     @property
-    def operators(self):
-        """Return the newest OperatorState."""
-        return self._views[route.OperatorState]
+    def configuration(self):
+        """Return the newest Configuration; `route.NO_CONFIGURATION` without one."""
+        return self._views[route.Configuration]
+
+    @property
+    def evacuations(self):
+        """Return the newest Evacuations; `route.NO_EVACUATIONS` without any."""
+        return self._views[route.Evacuations]
 
     @property
     def members(self):
@@ -43,7 +51,7 @@
         """Replace the current view if the given one is newer.
 
         Args:
-          view: An OperatorState or a Members.
+          view: A Configuration, an Evacuations or a Members.
           source: A string, the origin of the view, for the log.
 
         Returns:
@@ -53,41 +61,45 @@
         if view.revision <= self._views[kind].revision:
             return False
         self._views[kind] = view
-        if kind is route.OperatorState:
-            self._log_operators(view, source)
-        else:
-            count = len(view.addresses)
-            _log.info("entries changed", revision=view.revision, count=count)
+        _log_view[kind](view, source)
         for function in self._subscribers:
             function()
         return True
 
-    def newer_than(self, revision, members):
-        """List the views that a peer lacks.
 
-        Args:
-          revision: An integer, the revision of the peer's OperatorState.
-          members: An integer, the revision of the peer's Members.
+def _log_configuration(view, source):
+    _log.info(
+        "configuration applied",
+        revision=view.revision,
+        version=view.version,
+        routes=len(view.routes),
+        source=source,
+    )
 
-        Returns:
-          A list of messages.
-        """
-        views = []
-        if self.operators.revision > revision:
-            views.append(self.operators)
-        if self.members.revision > members:
-            views.append(self.members)
-        return views
-
-    def _log_operators(self, view, source):
-        configuration = view.configuration
-        _log.info(
-            "operator state applied",
-            revision=view.revision,
-            version=configuration.version if configuration else 0,
-            evacuated=",".join(view.evacuated),
-            source=source,
-        )
+
+def _log_evacuations(view, source):
+    _log.info(
+        "evacuations applied",
+        revision=view.revision,
+        zones=",".join(view.zones),
+        source=source,
+    )
+
+
+def _log_members(view, source):
+    _log.info(
+        "entries changed",
+        revision=view.revision,
+        count=len(view.addresses),
+        source=source,
+    )
+
+
+_log_view = {
+    route.Configuration: _log_configuration,
+    route.Evacuations: _log_evacuations,
+    contract.Members: _log_members,
+}
 
 
 def new_cluster_state():
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -12,7 +12,8 @@
 | entry | Beat    | the owner's heartbeat, with how soon it needs room       |
 | entry | Begin   | start an attempt                                         |
 | entry | Halt    | stop an attempt                                          |
-| both  | OperatorState, Members | a view newer than the other side's        |
+| both  | Evacuations, Members | a view newer than the other side's          |
+| entry | FetchConfiguration | a request to another entry for its configuration |
 """
 
 import enum
@@ -58,15 +59,17 @@
     """An owner's heartbeat.
 
     Attributes:
-      revision: An integer, the revision of the owner's OperatorState.
-      members: An integer, the revision of the owner's Members.
+      configuration: An integer, the revision of the owner's Configuration.
+      evacuations: An integer, the revision of its Evacuations.
+      members: An integer, the revision of its Members.
       slack_ms: A number, how long its most urgent waiting job can still wait for room
         and be in time; infinite when no job waits.
       echo_ms: A number, the `sent_ms` of a Room that the owner received on this link
         some time ago; 0 for none. See `fleet.Worker.echo_ms`.
     """
 
-    revision: int
+    configuration: int
+    evacuations: int
     members: int
     slack_ms: float
     echo_ms: float
@@ -123,7 +126,9 @@
       free: A Resources.
       accepting: A boolean, false while no attempt may start.
       last_begin: An integer, the number of the last Begin that `free` includes.
-      revision: An integer, the revision of the agent's OperatorState.
+      configuration: An integer, the revision of the newest Configuration that any
+        owner of this agent has; the agent has none itself.
+      evacuations: An integer, the revision of the agent's Evacuations.
       members: An integer, the revision of the agent's Members.
       sent_ms: A number, when it was sent, on the agent's clock that also counts while
         its VM is suspended. The owner echoes it, which proves that it was alive then.
@@ -135,7 +140,8 @@
     free: job.Resources
     accepting: bool
     last_begin: int
-    revision: int
+    configuration: int
+    evacuations: int
     members: int
     sent_ms: float
 
@@ -205,3 +211,8 @@
 
 
 NO_MEMBERS = Members(0, ())
+
+
+@message.register(95)
+class FetchConfiguration:
+    """Request the Configuration that another entry has; the reply to `Link.ask`."""
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -236,7 +236,8 @@
 
     def _heartbeat(self, echo_ms):
         return contract.Beat(
-            self._cluster_state.operators.revision,
+            self._cluster_state.configuration.revision,
+            self._cluster_state.evacuations.revision,
             self._cluster_state.members.revision,
             self._scheduler.room_needed_by_ms() - self._clock.now_ms(),
             echo_ms,
@@ -331,12 +332,11 @@
         now_ms = self._clock.now_ms()
         latency_ms = now_ms - job.accepted_ms
         submission = job.submission
-        configuration = self._cluster_state.operators.configuration
         _log.info(
             "job answered",
             job=submission.job_id,
             route=job.route.name,
-            version=configuration.version if configuration else 0,
+            version=self._cluster_state.configuration.version,
             state=state,
             reason=reason,
             latency_ms=int(latency_ms),
@@ -350,8 +350,7 @@
 
     def _handle_room(self, worker, room):
         self._fleet.update_room(worker, room, self._clock.now_ms())
-        for view in self._cluster_state.newer_than(*worker.known_revisions):
-            worker.link.send(view)
+        worker.views.send_newer(self._cluster_state, worker.link)
         self._scheduler.refresh(worker)
 
     def _handle_refused(self, worker, refused):
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -5,14 +5,18 @@
 """
 
 import asyncio
+import random
 
 from jujubeglade.core import clock, link, log, metrics
 from jujubeglade.direct import (
+    configuration_fetch,
     contract,
     dispatcher,
+    peer_entry,
     process,
     registration,
     route,
+    route_table,
 )
 from jujubeglade.direct.job import Outcome, State
 
@@ -40,11 +44,18 @@
           settings: The DirectEntrySettings.
           clock: A Clock.
         """
-        super().__init__(settings, clock, "entry")
+        super().__init__(settings, clock, peer_entry.ROLE)
         self._dispatcher = dispatcher.Dispatcher(
             clock, settings.zone, settings.hold_ms, self._cluster_state, self._metrics
         )
         self._request_servers = self._platform.new_request_servers(settings, self)
+        self._route_table = route_table.new_table(route.NO_CONFIGURATION)
+        self._configuration_fetch = configuration_fetch.ConfigurationFetch(
+            self._cluster_state,
+            str(settings.stream),
+            self._fetch_configuration,
+            random.Random(),
+        )
         self._registration = None
         self._server = None
         self._is_leaving = False
@@ -53,10 +64,7 @@
     @property
     def is_ready(self):
         """Return whether the balancer should send clients here."""
-        return (
-            self._cluster_state.operators.configuration is not None
-            and not self._is_leaving
-        )
+        return self.configuration is not route.NO_CONFIGURATION and not self._is_leaving
 
     @property
     def is_leaving(self):
@@ -70,11 +78,11 @@
 
     @property
     def configuration(self):
-        """Return the Configuration in force, or None."""
-        return self._cluster_state.operators.configuration
+        """Return the Configuration in force; `route.NO_CONFIGURATION` without one."""
+        return self._cluster_state.configuration
 
     def find_route(self, host, path):
-        """Find the route of a request; see `route.find`.
+        """Find the route of a request; see `RouteTable.find`.
 
         Args:
           host: A string.
@@ -83,7 +91,7 @@
         Returns:
           A Match, or None.
         """
-        return route.find(self.configuration, host, path)
+        return self._route_table.find(host, path)
 
     async def submit(self, submission, route):
         """Run a job and wait for its outcome.
@@ -143,6 +151,7 @@
         )
         await self._request_servers.open()
         self._spawn(self._registration.run())
+        self._spawn(self._configuration_fetch.run())
         self._spawn(self._tick())
         _log.info("started", incarnation=self._identity.incarnation)
 
@@ -168,11 +177,14 @@
         await self._server.close()
 
     def on_link(self, link):
-        """Register the link of an agent.
+        """Register the link of an agent; one of another entry only asks.
 
         Args:
           link: A Link.
         """
+        if link.remote.role == peer_entry.ROLE:
+            peer_entry.limit_link(link)
+            return
         self._dispatcher.on_link(link)
         self._spawn(self._watch_link(link))
 
@@ -183,20 +195,40 @@
           link: A Link.
           body: A message of `contract`.
         """
+        if isinstance(body, contract.Room):
+            self._configuration_fetch.note_revision(body.configuration)
         self._dispatcher.on_message(link, body)
 
+    async def on_request(self, link, body):
+        """Answer the request of another entry.
+
+        Args:
+          link: A Link.
+          body: A message of `contract`.
+
+        Returns:
+          A message, or a Problem.
+        """
+        return peer_entry.answer(body, self._cluster_state)
+
+    async def _fetch_configuration(self, address):
+        return await peer_entry.fetch_configuration(
+            address, self._cluster_key, self._identity
+        )
+
     def _on_cluster_state(self):
-        for worker in self.fleet:
-            for view in self._cluster_state.newer_than(*worker.known_revisions):
-                worker.link.send(view)
+        if self._route_table.configuration is not self.configuration:
+            self._route_table = route_table.new_table(self.configuration)
         self._registration.check(self._cluster_state.members.addresses)
 
+    def _operators_prefix(self):
+        """Return the prefix of all of the operators' keys."""
+        return self._platform.operators_prefix
+
     def _measure(self):
         """Set the gauges."""
         self._metrics.set(metrics.Gauge.REQUESTS, self._dispatcher.in_progress)
-        self._metrics.set(
-            metrics.Gauge.REVISION, self._cluster_state.operators.revision
-        )
+        self._metrics.set(metrics.Gauge.REVISION, self.configuration.revision)
         workers = sum(worker.is_accepting for worker in self.fleet)
         self._metrics.set(metrics.Gauge.WORKERS, workers)
 
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -4,7 +4,7 @@
 view of its room is the agent's last report less what the entry has sent since.
 """
 
-from jujubeglade.direct import contract, health, job
+from jujubeglade.direct import contract, health, job, peer_views
 
 #: An agent that lost its link stops what it ran for this entry after
 #: `contract.SILENCE_TIMEOUT_MS`; if it can't, the worker lease expires. The margin
@@ -14,7 +14,7 @@
 _FIRST_REPORT_MS = 2000
 #: Running agents connect to a restarted entry within this time.
 _REDIAL_MS = 1000
-_NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0, 0.0)
+_NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0, 0, 0.0)
 
 
 class Worker:
@@ -32,9 +32,9 @@
         "assigned_tasks",
         "identity",
         "joined_ms",
-        "known_revisions",
         "lost_ms",
         "room_received_ms",
+        "views",
     )
 
     def __init__(self, link, now_ms):
@@ -53,8 +53,8 @@
         self.lost_ms = None
         #: When the room was received, on the monotonic clock.
         self.room_received_ms = 0.0
-        #: The revisions of the OperatorState and the Members that the agent has.
-        self.known_revisions = (0, 0)
+        #: The PeerViews of the link.
+        self.views = peer_views.PeerViews()
         self._last_begin = 0
         self._free = job.NOTHING
         self._link = link
@@ -118,7 +118,7 @@
         """
         self._link = link
         self.lost_ms = None
-        self.known_revisions = (0, 0)
+        self.views = peer_views.PeerViews()
         self._last_begin = 0
         self._unreported_needs.clear()
         self._room = _NO_ROOM
@@ -138,7 +138,7 @@
           room: A Room.
         """
         self._room = room
-        self.known_revisions = (room.revision, room.members)
+        self.views.note(room.evacuations, room.members)
         for number in [
             begin for begin in self._unreported_needs if begin <= room.last_begin
         ]:
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -12,7 +12,7 @@
 import collections
 import math
 
-from jujubeglade.direct import contract
+from jujubeglade.direct import contract, peer_views
 
 #: The number of Ended messages kept for an owner, in case its link has failed.
 _MAX_ENDED = 512
@@ -32,9 +32,10 @@
         "last_begin",
         "last_received_ms",
         "identity",
-        "known_revisions",
+        "configuration_revision",
         "room_needed_by_ms",
         "silence_ms",
+        "views",
     )
 
     def __init__(self, link, now_ms):
@@ -52,8 +53,10 @@
         self.silence_ms = 0.0
         #: The number of the last Begin received on the link.
         self.last_begin = 0
-        #: The revisions of the OperatorState and the Members that the owner has.
-        self.known_revisions = (0, 0)
+        #: The PeerViews of the link.
+        self.views = peer_views.PeerViews()
+        #: The revision of the Configuration that it has.
+        self.configuration_revision = 0
         #: By when it needs room, on the monotonic clock; infinite if it needs none.
         self.room_needed_by_ms = math.inf
         self._link = link
@@ -81,7 +84,7 @@
         self._linked_ms = now_ms
         self.last_received_ms = now_ms
         self.last_begin = 0
-        self.known_revisions = (0, 0)
+        self.views = peer_views.PeerViews()
         self.room_needed_by_ms = math.inf
 
     def note_received(self, now_ms):
@@ -118,7 +121,8 @@
           beat: A Beat.
           now_ms: A number, the monotonic clock.
         """
-        self.known_revisions = (beat.revision, beat.members)
+        self.views.note(beat.evacuations, beat.members)
+        self.configuration_revision = beat.configuration
         self.room_needed_by_ms = now_ms + beat.slack_ms
         self.note_echo(beat.echo_ms)
 
--- a/packages/dispatch/src/jujubeglade/direct/platforms.py
+++ b/packages/dispatch/src/jujubeglade/direct/platforms.py
@@ -16,17 +16,33 @@
 
     #: The prefix of the operators' keys in the store.
     operators_prefix = ""
+    #: The prefix of those among them that are evacuations.
+    evacuations_prefix = ""
+    #: The key of the configuration.
+    configuration_key = ""
 
     @abc.abstractmethod
-    def read_operators(self, entries, revision):
-        """Read the operators' state.
+    def read_configuration(self, entry):
+        """Read the configuration.
 
         Args:
-          entries: A dict from key to store.Entry, all keys under `operators_prefix`.
+          entry: A store.Entry, the content of `configuration_key`.
+
+        Returns:
+          A Configuration, or None when it can't be read.
+        """
+
+    @abc.abstractmethod
+    def read_evacuations(self, keys, revision):
+        """Read the evacuations.
+
+        Args:
+          keys: An iterable of strings, the operators' keys, with or without those that
+            are no evacuations.
           revision: An integer, the revision of the store.
 
         Returns:
-          An OperatorState, or None when it can't be read.
+          An Evacuations.
         """
 
     @abc.abstractmethod
--- a/packages/dispatch/src/jujubeglade/direct/process.py
+++ b/packages/dispatch/src/jujubeglade/direct/process.py
@@ -70,19 +70,35 @@
         """Make the followers that keep the cluster state up to date."""
 
         def offer_operators(entries, revision):
-            view = self._platform.read_operators(entries, revision)
-            if view is not None:
-                self._cluster_state.offer(view, "store")
+            evacuations = self._platform.read_evacuations(entries, revision)
+            self._cluster_state.offer(evacuations, "store")
+            self._offer_configuration(entries.get(self._platform.configuration_key))
 
         def offer_members(entries, revision):
             addresses = registration.addresses(entries)
             self._cluster_state.offer(contract.Members(revision, addresses), "store")
 
-        prefix = self._platform.operators_prefix
         return (
-            follower.Follower(self._store, prefix, offer_operators),
+            follower.Follower(self._store, self._operators_prefix(), offer_operators),
             follower.Follower(self._store, registration.PREFIX, offer_members),
         )
 
+    def _offer_configuration(self, entry):
+        """Decode the configuration, unless this process has it already.
+
+        Args:
+          entry: A store.Entry, or None when there is no configuration.
+        """
+        known_revision = self._cluster_state.configuration.revision
+        if entry is None or entry.mod_revision <= known_revision:
+            return
+        configuration = self._platform.read_configuration(entry)
+        if configuration is not None:
+            self._cluster_state.offer(configuration, "store")
+
+    def _operators_prefix(self):
+        """Return the prefix of the operators' keys that this process follows."""
+        raise NotImplementedError
+
     def _spawn(self, coroutine):
         return self._background.spawn(coroutine)
--- a/packages/dispatch/src/jujubeglade/direct/route.py
+++ b/packages/dispatch/src/jujubeglade/direct/route.py
@@ -1,11 +1,11 @@
-"""Routes and services: what operators configure for direct jobs.
+"""Routes, services and evacuations: what operators configure for direct jobs.
 
-An `OperatorState` is the complete configuration by the operators at one revision of the
-store, so a newer one replaces an older one as a whole.
+The configuration and the evacuations are separate views, each complete at one revision
+of the store, so that a newer one replaces an older one as a whole. A configuration may
+have thousands of routes, which only entries need; evacuations are small, change at once
+and concern every process.
 """
 
-import dataclasses
-
 from jujubeglade.core import message
 
 #: The client timeout of a request that does not specify one.
@@ -66,12 +66,14 @@
     """One version of the operators' configuration.
 
     Attributes:
+      revision: An integer, the revision of the store at which it was written.
       version: An integer, rising.
       routes: A tuple of Routes.
       services: A tuple of Services.
       max_body_bytes: An integer, the largest body of a request.
     """
 
+    revision: int
     version: int
     routes: tuple
     services: tuple
@@ -79,53 +81,18 @@
 
 
 @message.register(85)
-class OperatorState:
-    """The operators' configuration and evacuations at one revision of the store.
+class Evacuations:
+    """The availability zones that operators have taken out of service.
 
     Attributes:
       revision: An integer, the revision of the store.
-      configuration: A Configuration, or None when there is none yet.
-      evacuated: A tuple of strings, the availability zones out of service.
+      zones: A tuple of strings.
     """
 
     revision: int
-    configuration: Configuration | None
-    evacuated: tuple
-
-
-NO_STATE = OperatorState(0, None, ())
+    zones: tuple
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Match:
-    """The route of a request.
-
-    Attributes:
-      route: A Route.
-      rest: A string, the part of the path after the prefix.
-    """
-
-    route: Route
-    rest: str
-
-
-def find(configuration, host, path):
-    """Find the route with the longest prefix of a path.
-
-    Args:
-      configuration: A Configuration.
-      host: A string, the host name without a port.
-      path: A string.
-
-    Returns:
-      A Match, or None.
-    """
-    longest = None
-    for route in configuration.routes:
-        if route.host != host or not path.startswith(route.prefix):
-            continue
-        if longest is None or len(route.prefix) > len(longest.prefix):
-            longest = route
-    if longest is None:
-        return None
-    return Match(longest, path[len(longest.prefix) :])
+#: What a process has before it has received anything from the operators.
+NO_CONFIGURATION = Configuration(0, 0, (), (), 0)
+NO_EVACUATIONS = Evacuations(0, ())
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -189,13 +189,14 @@
         """Return whether nothing may still run."""
         return not self._attempts
 
-    def room(self, owner, revision, members):
+    def room(self, owner, configuration, evacuations, members):
         """Describe the room for an owner.
 
         Args:
           owner: An Owner.
-          revision: An integer, of this agent's OperatorState.
-          members: An integer, of its Members.
+          configuration: An integer, the newest revision that an owner has.
+          evacuations: An integer, the revision of this agent's Evacuations.
+          members: An integer, that of its Members.
 
         Returns:
           A Room.
@@ -208,7 +209,8 @@
             self._capacity.free,
             self._refusal() is None,
             owner.last_begin,
-            revision,
+            configuration,
+            evacuations,
             members,
             self._clock.elapsed_ms(),
         )
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -159,7 +159,7 @@
     def _send(self, task, workers, now_ms):
         """Send a task to one of the workers; return whether one had room."""
         request = placement.request_of(task, self._fleet, self._zone)
-        evacuated = self._cluster_state.operators.evacuated
+        evacuated = self._cluster_state.evacuations.zones
         candidates = placement.candidates(workers, request, evacuated, now_ms)
         if not candidates:
             return False
