Reject another incarnation before its agent has the link

Cause: an agent that has restarted has a new incarnation at the old address. A home that still had the worker of the old incarnation dialed that address, completed the handshake, saw the wrong incarnation and closed the link. The other agent had by then replaced the home's link to the present incarnation by this one and closed it, so the home took the attempts there for lost and repeated those that are repeatable. The dialer now gives up before it proves that it has the key, and the acceptor never gets that link.

Ruled out: hedging (no hedge logged), rejected starts (none at that time), a silent worker (the link was closed, not silent).

--- a/features/owners_rig.py
+++ b/features/owners_rig.py
@@ -222,7 +222,7 @@
             identity.incarnation, name, name, 1, "a", "r", ("parts",), self._slots
         )
 
-    async def _dial(self, address, cluster_key, identity, handler):
+    async def _dial(self, address, cluster_key, identity, handler, incarnation):
         name = address[0]
         if name in self.unreachable:
             await asyncio.sleep(1)
--- a/features/workers.feature
+++ b/features/workers.feature
@@ -11,3 +11,9 @@
       | 1    | 230000 | 3     |
       | 1    | 241000 | 0     |
       | 3000 | 241000 | 3     |
+
+  Scenario: A home that still dials an ended incarnation leaves the link to the present one open
+    Given a loopback cluster of 2 workers
+    When a home uses a worker and then dials an earlier incarnation at its address
+    Then the home's link to the present incarnation is still open
+    And the home gives up the earlier incarnation
--- a/packages/bench/src/jujubeglade/fakes/site.py
+++ b/packages/bench/src/jujubeglade/fakes/site.py
@@ -255,7 +255,7 @@
             identity.name, identity.incarnation, self.clock, _AUDIT_RECORDS, _KEY
         )
 
-    async def _dial(self, address, cluster_key, identity, handler):
+    async def _dial(self, address, cluster_key, identity, handler, incarnation):
         name = address[0]
         await asyncio.sleep(ONE_WAY_MS / 1000)
         agent_executor = self.executors[name]
--- a/packages/core/src/jujubeglade/core/_handshake.py
+++ b/packages/core/src/jujubeglade/core/_handshake.py
@@ -83,7 +83,7 @@
     mac: bytes
 
 
-async def dial(reader, writer, cluster_key, identity):
+async def dial(reader, writer, cluster_key, identity, incarnation=None):
     """Perform the handshake as the dialer.
 
     Args:
@@ -91,9 +91,12 @@
       writer: An asyncio.StreamWriter.
       cluster_key: Bytes.
       identity: An Identity, of this process.
+      incarnation: A string, the only incarnation to accept; None for any. The peer
+        never has a link to a dialer that does not accept it.
 
     Returns:
-      A Result of the peer's Identity, or of a Problem.
+      A Result of the peer's Identity, or of a Problem: of kind CONFLICT if another
+      incarnation runs there.
     """
     hello = Hello(PROTOCOL_VERSION, identity, secrets.token_bytes(_NONCE_BYTES))
     _write(writer, hello)
@@ -104,6 +107,8 @@
     expected = _mac(cluster_key, b"accept", hello, answer.identity, answer.nonce)
     if not hmac.compare_digest(expected, answer.mac):
         return result.Err(_unauthorized(answer.identity.name))
+    if incarnation is not None and answer.identity.incarnation != incarnation:
+        return result.Err(_other_incarnation(answer.identity))
     proof = _mac(cluster_key, b"dial", hello, answer.identity, answer.nonce)
     _write(writer, Proof(proof))
     return result.Ok(answer.identity)
@@ -161,6 +166,15 @@
     return decoded
 
 
+def _other_incarnation(identity):
+    return problem.Problem(
+        kind=problem.Kind.CONFLICT,
+        message=f"{identity.name} runs as incarnation {identity.incarnation} now",
+        remedy="use the members' list for its present incarnation",
+        place=identity.name,
+    )
+
+
 def _unauthorized(name):
     return problem.Problem(
         kind=problem.Kind.UNAUTHORIZED,
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -226,7 +226,9 @@
                 self._writer.transport.abort()
 
 
-async def dial(address, cluster_key, identity, handler, connect_ms=None):
+async def dial(
+    address, cluster_key, identity, handler, connect_ms=None, incarnation=None
+):
     """Open a link to another process.
 
     Args:
@@ -236,9 +238,11 @@
       handler: The handler of the link's messages.
       connect_ms: An integer, the timeout of the TCP connection; None to bound it
         only by the timeout of the whole handshake.
+      incarnation: A string, the only incarnation of the peer to accept; None for any.
 
     Returns:
-      A Result of a Link whose `run` the caller must start, or of a Problem.
+      A Result of a Link whose `run` the caller must start, or of a Problem: of kind
+      CONFLICT if another incarnation runs there.
     """
     writer = None
     try:
@@ -247,7 +251,9 @@
                 clock.seconds(connect_ms or HANDSHAKE_TIMEOUT_MS)
             ):
                 reader, writer = await asyncio.open_connection(*address)
-            remote = await _handshake.dial(reader, writer, cluster_key, identity)
+            remote = await _handshake.dial(
+                reader, writer, cluster_key, identity, incarnation
+            )
     except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
         if writer is not None:
             writer.close()
--- a/packages/dispatch/src/jujubeglade/agent/worker.py
+++ b/packages/dispatch/src/jujubeglade/agent/worker.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from jujubeglade.agent import health
-from jujubeglade.core import clock, link
+from jujubeglade.core import clock, link, problem
 
 _MIN_REDIAL_DELAY_MS = 50
 _MAX_REDIAL_DELAY_MS = 1000
@@ -188,7 +188,18 @@
         delay_ms = _MIN_REDIAL_DELAY_MS
         while not self.gone:
             dial = self._dial or link.dial
-            dialed = await dial(self.member.address, cluster_key, identity, home)
+            dialed = await dial(
+                self.member.address,
+                cluster_key,
+                identity,
+                home,
+                incarnation=self.member.incarnation,
+            )
+            if dialed.is_err() and dialed.err_value.kind == problem.Kind.CONFLICT:
+                # A later incarnation of the agent: the one in the tickets has ended.
+                self.gone = True
+                home.on_worker_lost(self)
+                break
             if dialed.is_err():
                 self._failed_dials += 1
                 if not self.may_connect:
@@ -202,12 +213,6 @@
         self._dial_decided.set()
 
     async def _run(self, worker_link, home):
-        if worker_link.remote.incarnation != self.member.incarnation:
-            # A later incarnation of the agent: the one that the tickets name has ended.
-            self.gone = True
-            worker_link.close()
-            home.on_worker_lost(self)
-            return
         self._link = worker_link
         self._failed_dials = 0
         self._dial_decided.set()
