--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -219,3 +219,8 @@
 def _count_on_after_halt():
     alive_ms = property(lambda self: self.owner.alive_ms)
     return ((attempt.Attempt, "owner_alive_ms", alive_ms),)
+
+
+@_mutant("a link is closed only once nothing runs for its owner")
+def _close_busy_links():
+    return ((runner.Runner, "runs_for", lambda self, owner: False),)
--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -90,6 +90,12 @@
     assert witness.starts == len(witness.done), (witness.starts, len(witness.done))
 
 
+@then("some task of the field was started twice")
+def step_started_twice(context):
+    witness = context.site.witness
+    assert witness.starts > len(witness.done), (witness.starts, len(witness.done))
+
+
 @then("at least {share:d} % of the jobs at entries that stayed are completed")
 def step_share(context, share):
     completed = sum(_is_completed(outcome) for outcome in context.outcomes)
--- a/features/subset.feature
+++ b/features/subset.feature
@@ -35,6 +35,14 @@
     When 2500 ms pass in the field
     Then each agent is linked to 12 entries
 
+  Scenario: Tasks are started twice if links close while something runs for their owner
+    Given a field of 12 entries and 4 workers of 64 cores
+    And the rule "a link is closed only once nothing runs for its owner" is left out
+    When each entry of the field gets a job of 4 tasks for 3000 ms
+    And 8 entries are added to the field
+    And 6000 ms pass in the field
+    Then some task of the field was started twice
+
   Scenario Outline: Jobs are served while entries come and go
     Given a field of 16 entries and 24 workers of 64 cores with seed <seed>
     When entries of the field are killed, restarted and added for 20000 ms under load
