Outlast inputs that nobody expected

One malformed answer or message took a process out of service while it looked alive: an agent whose worker listed a short row polled no more, so that all runs there lapsed and none began; an entry that read a configuration whose limits are no object followed the operators no more; an entry whose message caused an error was never dialed again by that agent.

Cause: the loop in which the error was raised ended, and only a log line told it.

Ruled out: ending the process so that it is started again, which costs all jobs and runs it has.

--- a/features/dialing.feature
+++ b/features/dialing.feature
@@ -20,3 +20,9 @@
     When the store no longer lists the entry for 31000 ms
     And the entry is back but unlisted for 3000 ms
     Then the agent has not reached it
+
+  Scenario: An entry whose message causes an error is dialed again
+    Given an agent that dials an entry in virtual time
+    When the next link to the entry ends with an error
+    And the entry is reached and left
+    Then the agent reaches it within 400 ms of its return
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -101,6 +101,33 @@
     And the operator adds 1844 routes and moves the route to /parts/
     Then entry 0 answers GET /parts/ with 200 within 7000 ms
 
+  Scenario Outline: An agent outlasts answers of its worker that can't be read
+    Given a platform site of 1 entries and 1 workers
+    When worker 0 answers polls with <change> for 1200 ms
+    Then agents reach entry 0 within 3000 ms
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+    Examples:
+      | change                                |
+      | {"running": [["no-task"]]}            |
+      | {"running": [[1, 2]]}                 |
+      | {"finished": [[1]]}                   |
+      | {"finished": 3}                       |
+      | {"born": "x"}                         |
+
+  Scenario Outline: An entry outlasts a configuration that can't be read
+    Given a platform site of 1 entries and 1 workers
+    When another writer makes <text> the configuration
+    Then entry 0 answers GET /stock/ with 200 within 1000 ms
+    When the operator moves the route to /parts/
+    Then entry 0 answers GET /parts/ with 200 within 2000 ms
+
+    Examples:
+      | text                                                          |
+      | [1]                                                           |
+      | {"version": 9, "routes": [], "services": [], "limits": 3}     |
+      | {"version": 9, "routes": [3], "services": []}                 |
+
   Scenario: A process that starts during a store outage receives its state from its peers
     Given a platform site of 2 entries and 2 workers
     When the store fails for all processes
--- a/features/steps/dialing_steps.py
+++ b/features/steps/dialing_steps.py
@@ -8,6 +8,8 @@
 from jujubeglade.direct import background, dialing
 from jujubeglade.fakes import virtual
 
+#: The time to dial an entry that answers.
+_REACH_S = 0.3
 _ADDRESS = "10.0.0.1:7100"
 
 
@@ -17,6 +19,7 @@
     def __init__(self):
         self.entry_has_power = False
         self.dial_count = 0
+        self.serve_error = None
         self.reached = asyncio.Event()
 
     async def dial(self, address, connect_ms):
@@ -27,6 +30,9 @@
         return result.Err(address)
 
     async def serve(self, link, address):
+        if self.serve_error is not None:
+            error, self.serve_error = self.serve_error, None
+            raise error
         self.reached.set()
         await asyncio.sleep(3600)
 
@@ -44,6 +50,18 @@
     context.dial_count = context.agent.dial_count
 
 
+@when("the next link to the entry ends with an error")
+def step_serve_error(context):
+    context.agent.serve_error = KeyError("unexpected")
+
+
+@when("the entry is reached and left")
+def step_reached_and_left(context):
+    context.agent.entry_has_power = True
+    context.runner.run(asyncio.sleep(_REACH_S))
+    assert context.agent.serve_error is None
+
+
 @when("the store shows a change of the entries")
 def step_entries_changed(context):
     context.agent.entry_has_power = True
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -82,6 +82,20 @@
     context.site.configure(count, prefix=prefix)
 
 
+@when("worker {index:d} answers polls with {change} for {ms:d} ms")
+def step_poll_changes(context, index, change, ms):
+    worker = context.site.workers[index]
+    worker.poll_changes = json.loads(change)
+    _wait(context, ms / 1000)
+    worker.poll_changes = {}
+
+
+@when("another writer makes {text} the configuration")
+def step_foreign_configuration(context, text):
+    context.site.store.put_bytes("op/config", text.encode())
+    _wait(context, _SETTLE_S)
+
+
 @when("the store sends {rate:d} bytes a second")
 def step_slow_store(context, rate):
     context.site.store.bytes_per_s = rate
--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -42,6 +42,8 @@
         self.inner = direct_worker.SimulatedWorker(name, total, witness, rng)
         self.inner.attach(self)
         #: Whether it sends periodic reports; calls are answered either way.
+        #: Fields that replace those of the answers to polls.
+        self.poll_changes = {}
         self.is_reporting = True
         self._control = control
         self._open = weakref.WeakSet()
@@ -170,7 +172,7 @@
                 for end in reply.finished
             ],
         }
-        return web.json_response(body)
+        return web.json_response(body | self.poll_changes)
 
     async def _read_request(self, request):
         fields = await request.json()
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -63,10 +63,10 @@
         self._cluster_state.subscribe(self._on_cluster_state)
         await self._worker_client.open(self._runner)
         await self._open(self._measure)
-        self._spawn(self._runner.run())
+        self._keep(self._runner.run)
         name = self._settings.name
-        self._spawn(report_cache.ReportCache(self._store, name, self._runner).run())
-        self._spawn(self._tick())
+        self._keep(report_cache.ReportCache(self._store, name, self._runner).run)
+        self._keep(self._tick)
         self._dial_entries()
         _log.info("started", incarnation=self._identity.incarnation)
 
--- a/packages/dispatch/src/jujubeglade/direct/dialing.py
+++ b/packages/dispatch/src/jujubeglade/direct/dialing.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from jujubeglade.core import clock
+from jujubeglade.core import clock, log
 
 #: The shortest and the longest pause between two attempts to connect.
 _MIN_PAUSE_MS = 50
@@ -22,6 +22,8 @@
 #: while the entry runs.
 _UNLISTED_DIAL_MS = 30_000
 
+_log = log.get(__name__)
+
 
 class Dialer:
     """The links of one agent."""
@@ -82,7 +84,7 @@
         while self._is_needed(address, reached_ms):
             dialed = await self._agent.dial(address, _CONNECT_TIMEOUT_MS)
             if dialed.is_ok():
-                await self._agent.serve(dialed.ok_value, address)
+                await self._serve(dialed.ok_value, address)
                 pause_ms = _MIN_PAUSE_MS
                 reached_ms = self._clock.now_ms()
             await self._pause(pause_ms)
@@ -93,6 +95,13 @@
             pause_ms = min(2 * pause_ms, max_ms)
         del self._tasks[address]
 
+    async def _serve(self, link, address):
+        """Serve a link until it ends, also if a message on it causes an error."""
+        try:
+            await self._agent.serve(link, address)
+        except Exception as error:
+            _log.error("link broke off", address=address, cause=repr(error))
+
     def _is_needed(self, address, reached_ms):
         if address in self._listed:
             return True
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -150,9 +150,9 @@
             _MAX_LINKS,
         )
         await self._request_servers.open()
-        self._spawn(self._registration.run())
-        self._spawn(self._configuration_fetch.run())
-        self._spawn(self._tick())
+        self._keep(self._registration.run)
+        self._keep(self._configuration_fetch.run)
+        self._keep(self._tick)
         _log.info("started", incarnation=self._identity.incarnation)
 
     async def stop(self):
--- a/packages/dispatch/src/jujubeglade/direct/process.py
+++ b/packages/dispatch/src/jujubeglade/direct/process.py
@@ -57,7 +57,7 @@
             page = metrics_page.application(self._metrics, measure)
             self._page = await metrics_page.serve(page, self._settings.metrics)
         for store_follower in self._followers():
-            self._spawn(store_follower.run())
+            self._keep(store_follower.run)
 
     async def _close(self):
         """Cancel the tasks, and close what `_open` opened."""
@@ -100,5 +100,8 @@
         """Return the prefix of the operators' keys that this process follows."""
         raise NotImplementedError
 
+    def _keep(self, run):
+        return self._background.keep(run)
+
     def _spawn(self, coroutine):
         return self._background.spawn(coroutine)
