Send no attempts to agents whose heartbeats are overdue

An agent that has sent nothing for 350 ms, more than two heartbeats, gets none now; its next message ends this. Where all agents are quiet, jobs wait for the next heartbeat.

Evidence: features/quiet_agents.feature in virtual time; without the rule a job of 8 tasks that comes 400 ms after 4 of 6 connections went silent is not done within 200 ms (100 ms of work); with it, it is. Ruled out: a shorter silence timeout, which would stop running work of owners and agents that are only slow.

--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -13,6 +13,8 @@
 _JOB_INTERVAL_S = 0.1
 _CHANGE_INTERVAL_S = 1.0
 _RUN_MS = 400
+#: When a cut is healed after the job has been submitted.
+_HEAL_S = 0.1
 #: The entries that stay while others come and go.
 _STAYING = 8
 
@@ -31,6 +33,20 @@
     context.runner.run(_kill(context.site, hosts))
 
 
+@when("the links of entry {entry:d} to workers {first:d} to {last:d} go silent")
+def step_silence(context, entry, first, last):
+    for index in range(first, last + 1):
+        _pair(context, entry, index).silence()
+
+
+@when(
+    "the links of entry {entry:d} to workers {first:d} to {last:d} are held for "
+    "{ms:d} ms"
+)
+def step_hold(context, entry, first, last, ms):
+    context.runner.run(_hold(context, entry, range(first, last + 1), ms))
+
+
 @when("{ms:d} ms pass in the field")
 def step_pass(context, ms):
     _wait(context, ms)
@@ -105,6 +121,23 @@
     )
 
 
+def _pair(context, entry, worker):
+    site = context.site
+    return site.network.pair(site.agents[worker].name, site.entries[entry].name)
+
+
+async def _hold(context, entry, workers, ms):
+    """Hold the messages of some agents to an entry; those of the entry pass."""
+    network = context.site.network
+    entry_name = context.site.entries[entry].name
+    names = [context.site.agents[index].name for index in workers]
+    for name in names:
+        network.cut(name, entry_name, from_entry=False)
+    await asyncio.sleep(ms / 1000)
+    for name in names:
+        asyncio.get_running_loop().call_later(_HEAL_S, network.heal, name, entry_name)
+
+
 async def _kill(site, hosts):
     for host in hosts:
         site.kill(host)
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -10,6 +10,10 @@
 #: `contract.SILENCE_TIMEOUT_MS`; if it can't, the worker lease expires. The margin
 #: allows for a slow clock, a call in flight, and the stop itself.
 _STOP_MARGIN_MS = 250
+#: An agent that has sent nothing for this long gets no new attempts: more than two
+#: heartbeats are missing. If its connection is gone, they would wait until it counts as
+#: lost; if it is slow, its next message ends this.
+_QUIET_MS = 350
 #: A worker reports within this time after its agent has connected.
 _FIRST_REPORT_MS = 2000
 #: Running agents connect to a restarted entry within this time.
@@ -101,6 +105,14 @@
         """Return whether attempts may be sent."""
         return self.lost_ms is None and self._room.accepting
 
+    def is_quiet(self, now_ms):
+        """Return whether the agent's heartbeats are overdue, so that it may be lost.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        return now_ms - self._link.last_received_ms > _QUIET_MS
+
     def awaits_report(self, now_ms):
         """Return whether the agent has just connected and its worker has yet to report.
 
--- a/packages/dispatch/src/jujubeglade/direct/placement.py
+++ b/packages/dispatch/src/jujubeglade/direct/placement.py
@@ -79,6 +79,7 @@
         worker
         for worker in workers
         if worker.is_accepting
+        and not worker.is_quiet(now_ms)
         and worker.room.service == request.service
         and worker.free.covers(request.needs)
         and worker.zone not in evacuated
