--- a/packages/tools/src/jujubeglade/tools/explain.py
+++ b/packages/tools/src/jujubeglade/tools/explain.py
@@ -13,10 +13,15 @@
 _COLUMN_FIELDS = ("time", "level", "role", "name", "logger", "event", "job", "task")
 #: Events that change the cluster state of a process, and so concern every request.
 _STATE_EVENTS = (
-    "operator state applied",
+    "configuration applied",
+    "configuration not fetched",
     "entry lost",
     "entry reached",
+    "evacuations applied",
     "leaving",
+    "link broke off",
+    "loop broke off",
+    "owner left to other agents",
     "owner lost",
     "roster received",
     "settings reloaded",
