Bound the rate at which an entry announces its need of room

The interval is now 1 ms for each agent, at least the 10 ms it was; the 11 agents of the small deployments get 11 ms.

The heartbeats have a module of their own, split from the dispatcher.

--- a/features/steps/subset_steps.py
+++ b/features/steps/subset_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 
-from jujubeglade.direct import job
+from jujubeglade.direct import contract, job
 from jujubeglade.fakes import direct_clients
 
 _CORES = 1000
@@ -27,6 +27,25 @@
     _wait(context, ms)
 
 
+@when(
+    "jobs of {count:d} tasks for {ms:d} ms are sent to entry 0 each {gap_ms:d} ms for "
+    "{duration_ms:d} ms"
+)
+def step_overload(context, count, ms, gap_ms, duration_ms):
+    context.received = collections.Counter()
+    context.duration_ms = duration_ms
+    for host in context.site.agents:
+        _count_messages(host, context.received, contract.Beat)
+    load = _load(context.site, (count, ms), gap_ms, duration_ms)
+    context.runner.run(load)
+
+
+@then("the agents got at most {most:d} heartbeats a second")
+def step_heartbeats(context, most):
+    total = sum(context.received.values())
+    assert 0 < total <= most * context.duration_ms / 1000, total
+
+
 @when("entries {first:d} to {last:d} of the field are killed")
 def step_kill(context, first, last):
     hosts = context.site.entries[first : last + 1]
@@ -150,11 +169,11 @@
             yield agent, entry
 
 
-def _count_messages(host, received):
+def _count_messages(host, received, kind=object):
     handle = host.agent.on_message
 
     def count(link, body):
-        received[host.name] += 1
+        received[host.name] += isinstance(body, kind)
         handle(link, body)
 
     host.agent.on_message = count
@@ -166,6 +185,14 @@
     return context.runner.run(_request(site.entries[index], submission))
 
 
+async def _load(site, shape, gap_ms, duration_ms):
+    end_s = site.loop.time() + duration_ms / 1000
+    while site.loop.time() < end_s:
+        submission = site.submission(shape[0], _CORES, shape[1])
+        direct_clients.Request(site.entries[0], submission)
+        await asyncio.sleep(gap_ms / 1000)
+
+
 async def _request(host, submission):
     return direct_clients.Request(host, submission)
 
--- a/features/subset.feature
+++ b/features/subset.feature
@@ -18,6 +18,11 @@
     When the messages to the agents are counted for 3000 ms
     Then each agent got at most 300 messages
 
+  Scenario: An entry with many agents and a long queue sends no more messages than its limit
+    Given a field of 1 entries and 60 workers of 1 cores
+    When jobs of 8 tasks for 100 ms are sent to entry 0 each 12 ms for 3000 ms
+    Then the agents got at most 1600 heartbeats a second
+
   Scenario: Agents serve other entries in place of lost ones
     Given a field of 20 entries and 30 workers of 16 cores
     When entries 0 to 4 of the field are killed
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -287,7 +287,7 @@
         while True:
             await asyncio.sleep(clock.seconds(_TICK_INTERVAL_MS))
             for _, entry in self.entries:
-                entry.send_heartbeats()
+                entry.heartbeats.send()
                 entry.tick()
             for node in self.nodes:
                 now_ms = self.clock.elapsed_ms()
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -7,14 +7,13 @@
 """
 
 import asyncio
-import dataclasses
-import math
 
-from jujubeglade.core import clock, log, message, metrics
+from jujubeglade.core import clock, log, metrics
 from jujubeglade.direct import (
     contract,
     fleet,
     forecasts,
+    heartbeats,
     owned_job,
     policy,
     scheduler,
@@ -27,8 +26,6 @@
 #: A job is answered this long before its client timeout expires.
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
-#: The shortest time between two announcements of when room is needed.
-_NEED_INTERVAL_MS = 10
 #: The job class that labels the latency metric.
 _CLASS = "direct"
 
@@ -48,8 +45,7 @@
         "_stopping_tasks",
         "_metrics",
         "_scheduler",
-        "_announced_need_ms",
-        "_heartbeat_sent_ms",
+        "_heartbeats",
     )
 
     def __init__(self, clock, zone, lease_ms, cluster_state, metrics):
@@ -69,13 +65,12 @@
         self._scheduler = scheduler.Scheduler(
             clock, self._fleet, zone, cluster_state, self
         )
+        self._heartbeats = heartbeats.Heartbeats(
+            clock, self._fleet, cluster_state, self._scheduler
+        )
         self._jobs = {}
         # Tasks of answered jobs whose attempts have not ended yet, by TaskName.
         self._stopping_tasks = {}
-        # The time by which room is needed as last announced, and when a heartbeat
-        # was last sent.
-        self._announced_need_ms = math.inf
-        self._heartbeat_sent_ms = 0.0
         self._admit = policy.find("admission", "in_time")
         self._queue_key = policy.find("queueing", "latest_start")
 
@@ -84,6 +79,11 @@
         """Return the Fleet."""
         return self._fleet
 
+    @property
+    def heartbeats(self):
+        """Return the Heartbeats."""
+        return self._heartbeats
+
     @property
     def in_progress(self):
         """Return the number of jobs that have not been answered."""
@@ -170,7 +170,7 @@
             incarnation=link.remote.incarnation,
             holding=len(worker.assigned_tasks),
         )
-        link.send(self._heartbeat(worker.echo_ms))
+        self._heartbeats.send_to(worker)
 
     def on_link_lost(self, link):
         """Mark the worker as lost when the link of its agent has closed.
@@ -207,42 +207,9 @@
         else:
             self._cluster_state.offer(body, link.remote.name)
 
-    def send_heartbeats(self):
-        """Send each agent a heartbeat with the time of a Room of its own."""
-        heartbeat = self._heartbeat(0.0)
-        self._note_announced(heartbeat)
-        for worker in self._fleet:
-            worker.link.send(dataclasses.replace(heartbeat, echo_ms=worker.echo_ms))
-
-    def _announce_need(self):
-        """Send all agents the same heartbeat: by when room is needed."""
-        heartbeat = self._heartbeat(0.0)
-        self._note_announced(heartbeat)
-        encoded = message.encode(heartbeat)
-        for worker in self._fleet:
-            worker.link.send(heartbeat, encoded)
-
-    def _note_announced(self, heartbeat):
-        self._heartbeat_sent_ms = self._clock.now_ms()
-        self._announced_need_ms = self._heartbeat_sent_ms + heartbeat.slack_ms
-
     def on_round(self):
         """Announce the time by which room is needed, if it has changed."""
-        now_ms = self._clock.now_ms()
-        room_needed_by_ms = self._scheduler.room_needed_by_ms()
-        if room_needed_by_ms == self._announced_need_ms:
-            return
-        if now_ms - self._heartbeat_sent_ms >= _NEED_INTERVAL_MS:
-            self._announce_need()
-
-    def _heartbeat(self, echo_ms):
-        return contract.Beat(
-            self._cluster_state.configuration.revision,
-            self._cluster_state.evacuations.revision,
-            self._cluster_state.members.revision,
-            self._scheduler.room_needed_by_ms() - self._clock.now_ms(),
-            echo_ms,
-        )
+        self._heartbeats.announce_need()
 
     def tick(self):
         """Remove workers that are gone, and offer waiting tasks to all workers."""
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -250,7 +250,7 @@
             self._dispatcher.tick()
             if now_ms - heartbeat_sent_ms >= contract.HEARTBEAT_INTERVAL_MS:
                 heartbeat_sent_ms = now_ms
-                self._dispatcher.send_heartbeats()
+                self._dispatcher.heartbeats.send()
 
     def _resume(self, gap_ms):
         """Abort all links and jobs after a suspension of this VM.
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -225,6 +225,10 @@
         self._largest = {}
         self._gone_after_ms = contract.SILENCE_TIMEOUT_MS + lease_ms + _STOP_MARGIN_MS
 
+    def __len__(self):
+        """Return the number of workers, including lost ones."""
+        return len(self._workers)
+
     def __iter__(self):
         """Iterate over the workers, including lost ones."""
         return iter(tuple(self._workers.values()))
--- /dev/null
+++ b/packages/dispatch/src/jujubeglade/direct/heartbeats.py
@@ -0,0 +1,92 @@
+"""Heartbeats of an entry: to every agent at an interval, and when its need changes.
+
+A heartbeat also tells by when the entry needs room, which decides to whom an agent
+offers freed room first (`sharing`). While jobs wait, that changes with almost every
+job, so it is announced at most once in an interval that grows with the number of
+agents: the message rate of an entry does not.
+"""
+
+import dataclasses
+import math
+
+from jujubeglade.core import message
+from jujubeglade.direct import contract
+
+#: The shortest time between two announcements of when room is needed.
+_MIN_NEED_INTERVAL_MS = 10
+#: The same for each agent to which it is announced.
+_NEED_INTERVAL_PER_AGENT_MS = 1
+
+
+class Heartbeats:
+    """Sends the heartbeats of one entry."""
+
+    __slots__ = (
+        "_announced_need_ms",
+        "_clock",
+        "_cluster_state",
+        "_fleet",
+        "_scheduler",
+        "_sent_ms",
+    )
+
+    def __init__(self, clock, fleet, cluster_state, scheduler):
+        """Prepare to send; nothing has been sent yet.
+
+        Args:
+          clock: A Clock.
+          fleet: A Fleet.
+          cluster_state: A ClusterState.
+          scheduler: The Scheduler, with `room_needed_by_ms()`.
+        """
+        self._clock = clock
+        self._fleet = fleet
+        self._cluster_state = cluster_state
+        self._scheduler = scheduler
+        # The time by which room is needed as last announced, and when a heartbeat
+        # was last sent to all agents.
+        self._announced_need_ms = math.inf
+        self._sent_ms = 0.0
+
+    def send(self):
+        """Send each agent a heartbeat with the time of a Room of its own."""
+        heartbeat = self._heartbeat(0.0)
+        self._note_sent(heartbeat)
+        for worker in self._fleet:
+            worker.link.send(dataclasses.replace(heartbeat, echo_ms=worker.echo_ms))
+
+    def send_to(self, worker):
+        """Send one agent a heartbeat.
+
+        Args:
+          worker: A Worker.
+        """
+        worker.link.send(self._heartbeat(worker.echo_ms))
+
+    def announce_need(self):
+        """Tell all agents by when room is needed, if it has changed."""
+        if self._scheduler.room_needed_by_ms() == self._announced_need_ms:
+            return
+        interval_ms = max(
+            _MIN_NEED_INTERVAL_MS, _NEED_INTERVAL_PER_AGENT_MS * len(self._fleet)
+        )
+        if self._clock.now_ms() - self._sent_ms < interval_ms:
+            return
+        heartbeat = self._heartbeat(0.0)
+        self._note_sent(heartbeat)
+        encoded = message.encode(heartbeat)
+        for worker in self._fleet:
+            worker.link.send(heartbeat, encoded)
+
+    def _note_sent(self, heartbeat):
+        self._sent_ms = self._clock.now_ms()
+        self._announced_need_ms = self._sent_ms + heartbeat.slack_ms
+
+    def _heartbeat(self, echo_ms):
+        return contract.Beat(
+            self._cluster_state.configuration.revision,
+            self._cluster_state.evacuations.revision,
+            self._cluster_state.members.revision,
+            self._scheduler.room_needed_by_ms() - self._clock.now_ms(),
+            echo_ms,
+        )
