Describe the room once for each announcement

An agent described its room anew for each of its owners, although only the number of the last start and whether the owner is retiring differ.

--- a/features/steps/direct_links_steps.py
+++ b/features/steps/direct_links_steps.py
@@ -115,7 +115,8 @@
 def step_no_room(context, index, entry):
     identity, _ = context.site.entries[entry]
     node = context.site.nodes[index]
-    assert not node.room(node.owners[identity.incarnation]).accepting
+    assert identity.incarnation in node.owners
+    assert not node.room().accepting
 
 
 @when("agent {index:d} reaches entry {entry:d} again")
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -134,9 +134,9 @@
         elif isinstance(body, contract.Beat):
             owner.note_beat(body, entry_link.last_received_ms)
 
-    def room(self, owner):
-        """Build the room message for an entry."""
-        return self.runner.room(owner, 0, 0, 0)
+    def room(self):
+        """Build the room message for the entries."""
+        return self.runner.room(0, 0, 0)
 
 
 class Site:
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -209,13 +209,12 @@
         await link.run()
         _log.warning("entry lost", entry=link.remote.name, incarnation=incarnation)
 
-    def _describe_room(self, owner):
-        """Describe the room for an owner, with the revisions of the cluster state."""
+    def _describe_room(self):
+        """Describe the room, with the revisions of the cluster state."""
         newest_configuration = max(
             (other.configuration_revision for other in self._owners.values()), default=0
         )
         return self._runner.room(
-            owner,
             newest_configuration,
             self._cluster_state.evacuations.revision,
             self._cluster_state.members.revision,
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -29,7 +29,7 @@
         Args:
           clock: A Clock.
           owners: A dict whose values are the Owners.
-          describe: A function from an Owner to its Room.
+          describe: A function without arguments that returns the Room.
         """
         self._clock = clock
         self._owners = owners
@@ -78,7 +78,7 @@
           owner: An Owner.
         """
         if owner.link.is_open:
-            owner.send(self._describe(owner))
+            owner.send_room(self._describe())
 
     def _send_within(self, interval_ms):
         due_ms = self._clock.now_ms() + interval_ms
@@ -95,8 +95,10 @@
             self._timer.cancel()
             self._timer = None
         self._sent_ms = self._clock.now_ms()
+        room = self._describe()
         for owner in self._owners.values():
-            self.send_room(owner)
+            if owner.link.is_open:
+                owner.send_room(room)
 
 
 def new_announcer(clock, owners, describe):
@@ -105,7 +107,7 @@
     Args:
       clock: A Clock.
       owners: A dict whose values are the Owners.
-      describe: A function from an Owner to its Room.
+      describe: A function without arguments that returns the Room.
 
     Returns:
       An Announcer.
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import dataclasses
 import math
 
 from jujubeglade.core import log
@@ -142,6 +143,19 @@
         self.room_needed_by_ms = now_ms + beat.slack_ms
         self.note_echo(beat.echo_ms)
 
+    def send_room(self, room):
+        """Send the room of the worker, with what concerns this owner alone.
+
+        Args:
+          room: A Room, the same for all owners.
+        """
+        own_room = dataclasses.replace(
+            room,
+            accepting=room.accepting and not self.is_retiring,
+            last_begin=self.last_begin,
+        )
+        self.send(own_room)
+
     def send(self, body):
         """Send a message, and keep an Ended to send again after a link failure.
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -189,11 +189,10 @@
         """Return whether nothing may still run."""
         return not self._attempts
 
-    def room(self, owner, configuration, evacuations, members):
-        """Describe the room for an owner.
+    def room(self, configuration, evacuations, members):
+        """Describe the room, as it is for every owner; see `Owner.send_room`.
 
         Args:
-          owner: An Owner.
           configuration: An integer, the newest revision that an owner has.
           evacuations: An integer, the revision of this agent's Evacuations.
           members: An integer, that of its Members.
@@ -202,14 +201,13 @@
           A Room.
         """
         report = self._report
-        is_accepting = self._refusal() is None and not owner.is_retiring
         return contract.Room(
             report.service if report else "",
             report.labels if report else (),
             self._capacity.total,
             self._capacity.free,
-            is_accepting,
-            owner.last_begin,
+            self._refusal() is None,
+            0,
             configuration,
             evacuations,
             members,
