Let one write of the archive end before the next begins

An entry that shut down gracefully then broke off before it had closed its links, its listener and its store.

Cause: at a shutdown the archive writes what waits (finish) while its own loop may be in the middle of a write (step). Both took the first segment of the same queue, both removed one when they had stored it; the second removal found the queue empty, or would have dropped a segment that nobody had stored. A lock now lets only one of them use the queue.

Seen before only beside load, when encoding in a thread took long.

--- a/features/archive.feature
+++ b/features/archive.feature
@@ -14,6 +14,13 @@
     And agent-1 and agent-2 have nothing left to send
     And the audit of the store finds only open journals
 
+  Scenario: A shutdown while a write is under way stores all records
+    When agent-1 records all events of job-1
+    And the archive is asked to finish while it writes them
+    Then agent-1 and agent-2 have nothing left to send
+    And the store received 1 writes
+    And the audit of the store finds only open journals
+
   Scenario: Nothing is acknowledged while the store is down
     Given the store is down
     When agent-1 records all events of job-1
--- a/features/steps/archive_steps.py
+++ b/features/steps/archive_steps.py
@@ -14,6 +14,8 @@
 _NOON_MS = 1_767_268_800_000
 _KEY = b"the cluster key"
 _JOURNAL_CAPACITY = 100
+#: Records are written at the latest after this time.
+_LONGEST_WAIT_MS = 10_000
 _INCARNATIONS = {"agent-1": "aa", "agent-2": "bb"}
 
 
@@ -367,3 +369,16 @@
     assert context.store.values[context.taken_key] == b"not a segment"
     assert f"{context.taken_key}.again" in context.store.values
     assert context.senders["agent-1"].journal.backlog == 0
+
+
+@when("the archive is asked to finish while it writes them")
+def step_finish_while_writing(context):
+    context.clock.advance(_LONGEST_WAIT_MS)
+    for sender in context.senders.values():
+        sender.send()
+    (entry_archive,) = context.archives
+
+    async def write_and_finish():
+        await asyncio.gather(entry_archive.step(), entry_archive.finish())
+
+    asyncio.run(write_and_finish())
--- a/packages/dispatch/src/jujubeglade/entry/archive.py
+++ b/packages/dispatch/src/jujubeglade/entry/archive.py
@@ -67,6 +67,7 @@
         "_retention",
         "_segments",
         "_store",
+        "_write_lock",
         "_writer",
     )
 
@@ -81,6 +82,8 @@
         self._listeners = []
         self._last_number = 0
         self._segments = collections.deque()
+        # `finish` may be called while `run` is in a write; only one may use a segment.
+        self._write_lock = asyncio.Lock()
         self._last_problem = None
         self._last_write_ms = clock.now_ms()
 
@@ -126,10 +129,11 @@
         Returns:
           Ok with None, even if no write was due, or Err with the store's Problem.
         """
-        self._collect_own_records()
-        if not self._segments and self._is_due():
-            self._take_segment()
-        return await self._write() if self._segments else Ok(None)
+        async with self._write_lock:
+            self._collect_own_records()
+            if not self._segments and self._is_due():
+                self._take_segment()
+            return await self._write() if self._segments else Ok(None)
 
     async def run(self):
         """Call `step` once a second until cancelled."""
@@ -143,15 +147,16 @@
         Returns:
           Ok with None if all records are stored, or Err with the store's Problem.
         """
-        self._collect_own_records()
-        while self._segments or self._buffer.waiting_records:
-            if not self._segments:
-                self._take_segment()
-            match await self._write():
-                case Err(_) as failed:
-                    return failed
+        async with self._write_lock:
             self._collect_own_records()
-        return Ok(None)
+            while self._segments or self._buffer.waiting_records:
+                if not self._segments:
+                    self._take_segment()
+                match await self._write():
+                    case Err(_) as failed:
+                        return failed
+                self._collect_own_records()
+            return Ok(None)
 
     async def find(self, subject, issued_ms):
         """Read the records from the time of a subject.
