--- a/features/steps/subset_steps.py
+++ b/features/steps/field_steps.py
@@ -1,4 +1,4 @@
-"""Steps for agents that serve some of many entries, in virtual time."""
+"""Steps for a field of many entries and agents of direct jobs, in virtual time."""
 
 import asyncio
 import collections
