Repeat only those ends on a new link that the owner may not have

The first message on each new link listed the last 512 ends of that owner, whether it had them or not: 302 after 3 s of load in the test, some 50 KB when full. Where many links are replaced at once (resets, an entry that was frozen) an entry with 55 agents gets up to 2.5 MB in front of the heartbeats, 1.6 s on a link of 12.5 Mbit/s, of which 0.6 s count as silence: the same collapse as with routes.

An owner echoes the times of the rooms that it has received, and a link delivers in order, so an end that was sent before an echoed room is there and is dropped. Test: 'A new link repeats only those ends that the owner may not have' (302 before, at most 10 asked). Ruled out: a bound on their age, as only the echo shows that the owner has them.

--- a/features/steps/field_steps.py
+++ b/features/steps/field_steps.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import collections
+from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 
 from jujubeglade.direct import contract, job
 from jujubeglade.fakes import direct_clients
@@ -13,6 +14,9 @@
 _JOB_INTERVAL_S = 0.1
 _CHANGE_INTERVAL_S = 1.0
 _RUN_MS = 400
+#: Time for all entries to hear of a new worker, and for an agent to dial again.
+_GOSSIP_MS = 2500
+_RELINK_MS = 500
 #: When a cut is healed after the job has been submitted.
 _HEAL_S = 0.1
 #: The entries that stay while others come and go.
@@ -46,6 +50,63 @@
     assert 0 < total <= most * context.duration_ms / 1000, total
 
 
+@given("a worker of {cores:d} cores in the field")
+def step_large_worker(context, cores):
+    context.runner.run(context.site.add_agent("zone-0", cores * _CORES))
+    _wait(context, _GOSSIP_MS)
+
+
+@when("each entry of the field gets a job of a task of {cores:d} cores")
+def step_large_jobs(context, cores):
+    site = context.site
+    context.requests = [
+        context.runner.run(_request(host, site.submission(1, cores * _CORES, _RUN_MS)))
+        for host in site.entries
+    ]
+
+
+@when("the link of worker {worker:d} to entry {entry:d} is reset")
+def step_reset(context, worker, entry):
+    dispatcher = context.site.entries[entry].entry._dispatcher
+    handle = dispatcher._handle_roster
+    context.rosters = []
+
+    def record(fleet_worker, roster):
+        context.rosters.append(roster)
+        handle(fleet_worker, roster)
+
+    with mock.patch.object(type(dispatcher), "_handle_roster", _ignoring_self(record)):
+        _pair(context, entry, worker).reset()
+        _wait(context, _RELINK_MS)
+
+
+@then(
+    "the {count:d} entries with a large worker complete theirs, and the others refuse "
+    "within {ms:d} ms"
+)
+def step_completed_or_refused(context, count, ms):
+    _wait(context, ms)
+    refused = [request for request in context.requests if request.is_answered]
+    assert len(context.requests) - len(refused) == count, len(refused)
+    states = {_state(context, request) for request in refused}
+    assert states == {job.State.REFUSED}, states
+    states = {_state(context, request) for request in context.requests}
+    assert states == {job.State.REFUSED, job.State.COMPLETED}, states
+
+
+@then("each entry of the field answers that the job has failed")
+def step_all_failed(context):
+    states = {_state(context, request) for request in context.requests}
+    assert states == {job.State.FAILED}, states
+
+
+@then("the roster on the next link repeats at most {most:d} ends")
+def step_repeated(context, most):
+    assert [len(roster.ended) <= most for roster in context.rosters] == [True], [
+        len(roster.ended) for roster in context.rosters
+    ]
+
+
 @when("entries {first:d} to {last:d} of the field are killed")
 def step_kill(context, first, last):
     hosts = context.site.entries[first : last + 1]
@@ -185,6 +246,15 @@
     return context.runner.run(_request(site.entries[index], submission))
 
 
+def _ignoring_self(function):
+    return lambda _, *arguments: function(*arguments)
+
+
+def _state(context, request):
+    outcome = context.runner.run(request.outcome())
+    return None if outcome is None else outcome.state
+
+
 async def _load(site, shape, gap_ms, duration_ms):
     end_s = site.loop.time() + duration_ms / 1000
     while site.loop.time() < end_s:
--- a/features/subset.feature
+++ b/features/subset.feature
@@ -23,6 +23,21 @@
     When jobs of 8 tasks for 100 ms are sent to entry 0 each 12 ms for 3000 ms
     Then the agents got at most 1600 heartbeats a second
 
+  Scenario: A job that only the workers of other entries could run is refused at once, and not failed
+    Given a field of 36 entries and 12 workers of 16 cores
+    And a worker of 64 cores in the field
+    When each entry of the field gets a job of a task of 32 cores
+    Then the 12 entries with a large worker complete theirs, and the others refuse within 50 ms
+    When each entry of the field gets a job of a task of 99 cores
+    Then each entry of the field answers that the job has failed
+
+  Scenario: A new link repeats only those ends that the owner may not have
+    Given a field of 1 entries and 1 workers of 64 cores
+    When jobs of 2 tasks for 20 ms are sent to entry 0 each 20 ms for 3000 ms
+    And 1000 ms pass in the field
+    And the link of worker 0 to entry 0 is reset
+    Then the roster on the next link repeats at most 10 ends
+
   Scenario: Agents serve other entries in place of lost ones
     Given a field of 20 entries and 30 workers of 16 cores
     When entries 0 to 4 of the field are killed
--- a/packages/bench/src/jujubeglade/fakes/direct_clients.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_clients.py
@@ -43,6 +43,11 @@
         if self._process.is_killed:
             self.break_off()
 
+    @property
+    def is_answered(self):
+        """Return whether it has an outcome."""
+        return self._answer.done()
+
     async def outcome(self):
         """Wait for the answer, until the client's timeout.
 
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -16,7 +16,8 @@
 from jujubeglade.core import log
 from jujubeglade.direct import contract, peer_views
 
-#: The number of Ended messages kept for an owner, in case its link has failed.
+#: The number of Ended messages kept for an owner until it has them, in case its link
+#: fails.
 _MAX_ENDED = 512
 #: An owner whose latest echo is older than this counts as lost, if its link is too.
 #: The worker lease ends soon after, with all that runs there.
@@ -34,6 +35,7 @@
         "_ended",
         "_link",
         "_linked_ms",
+        "_room_sent_ms",
         "alive_ms",
         "last_begin",
         "last_received_ms",
@@ -73,7 +75,9 @@
         self.room_needed_by_ms = math.inf
         self._link = link
         self._linked_ms = now_ms
+        # Pairs of the time of the last Room sent before, and an Ended.
         self._ended = collections.deque(maxlen=_MAX_ENDED)
+        self._room_sent_ms = 0.0
 
     @property
     def link(self):
@@ -82,8 +86,8 @@
 
     @property
     def ended(self):
-        """Return the most recent Ended messages, as a tuple."""
-        return tuple(self._ended)
+        """Return the Ended messages that the owner may not have, as a tuple."""
+        return tuple(ended for _, ended in self._ended)
 
     @property
     def is_retiring(self):
@@ -126,10 +130,15 @@
     def note_echo(self, echo_ms):
         """Record an echo of a time of this agent.
 
+        A link delivers in order, so that the owner has all that was sent before the
+        Room whose time it echoes.
+
         Args:
           echo_ms: A number; 0 for none.
         """
         self.alive_ms = max(self.alive_ms, echo_ms)
+        while self._ended and self._ended[0][0] < echo_ms:
+            self._ended.popleft()
 
     def note_beat(self, beat, now_ms):
         """Handle a Beat.
@@ -154,6 +163,7 @@
             accepting=room.accepting and not self.is_retiring,
             last_begin=self.last_begin,
         )
+        self._room_sent_ms = room.sent_ms
         self.send(own_room)
 
     def send(self, body):
@@ -163,7 +173,7 @@
           body: A message of `contract`.
         """
         if isinstance(body, contract.Ended):
-            self._ended.append(body)
+            self._ended.append((self._room_sent_ms, body))
         self._link.send(body)
 
 
