Tell entries of workers that serve only other entries

With more than 12 entries an entry knows some of the workers. A job that only larger ones could run was answered 'failed', larger than any worker: false, and final for the client.

Heartbeats now tell the largest worker of the service, both ways, so that every entry hears of all within some hops. A job that none could run is failed as before. One that only the workers of other entries could run, for its size or its label, is refused at once (it has not run) and told to come back; a retry reaches other entries. Before, one for a label that none here has waited until it was late.

Ruled out: an own link to the worker for such a job (who would tell that it exists), and failing only what all entries agree on (a vote).

--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -141,7 +141,7 @@
 
     def room(self):
         """Build the room message for the entries."""
-        return self.runner.room(0, 0, 0)
+        return self.runner.room(0, 0, 0, self.owners.values())
 
 
 class Site:
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -223,6 +223,7 @@
             self._newest_configuration(),
             self._cluster_state.evacuations.revision,
             self._cluster_state.members.revision,
+            self._owners.values(),
         )
 
     def _newest_configuration(self):
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -63,6 +63,9 @@
       configuration: An integer, the revision of the owner's Configuration.
       evacuations: An integer, the revision of its Evacuations.
       members: An integer, the revision of its Members.
+      service: A string, the service of `largest`; empty when that isn't told.
+      largest: A Resources, the most of each resource that a worker of the service has,
+        as far as the owner has heard.
       slack_ms: A number, how long its most urgent waiting job can still wait for room
         and be in time; infinite when no job waits.
       echo_ms: A number, the `sent_ms` of a Room that the owner received on this link
@@ -72,6 +75,8 @@
     configuration: int
     evacuations: int
     members: int
+    service: str
+    largest: job.Resources
     slack_ms: float
     echo_ms: float
 
@@ -125,6 +130,8 @@
       labels: A tuple of strings.
       total: A Resources.
       free: A Resources.
+      largest: A Resources, the most of each resource that a worker of the service has,
+        as far as this agent and its owners have heard.
       accepting: A boolean, false while no attempt may start.
       last_begin: An integer, the number of the last Begin that `free` includes.
       configuration: An integer, the revision of the newest Configuration that any
@@ -139,6 +146,7 @@
     labels: tuple
     total: job.Resources
     free: job.Resources
+    largest: job.Resources
     accepting: bool
     last_begin: int
     configuration: int
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -26,6 +26,7 @@
 #: A job is answered this long before its client timeout expires.
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
+_NO_SUCH_WORKER = "no such worker serves this entry"
 #: The job class that labels the latency metric.
 _CLASS = "direct"
 
@@ -237,13 +238,18 @@
             if not self._fleet.could_ever_run(job.route.service, step.needs):
                 self._log_answer(job, job_.State.FAILED, "larger than any worker")
                 return job_.Outcome(job_.State.FAILED, "larger than any worker")
+        expects_workers = self._fleet.expects_workers(job.accepted_ms)
+        if not expects_workers and not self._holds_all(job):
+            # Agents of other entries may have such a worker.
+            self._log_answer(job, job_.State.REFUSED, _NO_SUCH_WORKER)
+            return job_.Outcome(job_.State.REFUSED, _NO_SUCH_WORKER, _RETRY_AFTER_MS)
         job.key = self._queue_key(job.arrival())
         entries = subset.sharing_entries(len(self._cluster_state.members.addresses))
         forecast = forecasts.new_forecast(
             self._fleet, self._scheduler.queue, job, entries
         )
         retry_after_ms = self._admit(forecast)
-        if not retry_after_ms or self._fleet.expects_workers(job.accepted_ms):
+        if not retry_after_ms or expects_workers:
             return None
         serving_cpu = sum(load.cpu for load in forecast.running)
         self._log_answer(
@@ -259,6 +265,11 @@
         self._metrics.count(metrics.Counter.REFUSED, "overloaded")
         return job_.Outcome(job_.State.REFUSED, "no room in time", retry_after_ms)
 
+    def _holds_all(self, job):
+        """Return whether this entry has workers that could run each step of a job."""
+        service = job.route.service
+        return all(self._fleet.holds(service, step) for step in job.submission.steps)
+
     def _accept(self, job):
         self._jobs[job.submission.job_id] = job
         left_ms = job.submission.timeout_ms - _ANSWER_MARGIN_MS
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -18,7 +18,9 @@
 _FIRST_REPORT_MS = 2000
 #: Running agents connect to a restarted entry within this time.
 _REDIAL_MS = 1000
-_NO_ROOM = contract.Room("", (), job.NOTHING, job.NOTHING, False, 0, 0, 0, 0, 0.0)
+_NO_ROOM = contract.Room(
+    "", (), job.NOTHING, job.NOTHING, job.NOTHING, False, 0, 0, 0, 0, 0.0
+)
 
 
 class Worker:
@@ -221,7 +223,8 @@
         """
         self._started_ms = now_ms
         self._workers = {}
-        # For each service, the most that a worker has reported of each resource.
+        # For each service, the most of each resource that a worker has, also of the
+        # workers that serve only other entries.
         self._largest = {}
         self._gone_after_ms = contract.SILENCE_TIMEOUT_MS + lease_ms + _STOP_MARGIN_MS
 
@@ -278,16 +281,38 @@
         """
         worker.update_room(room)
         worker.room_received_ms = now_ms
-        total = room.total
-        largest = self._largest.get(room.service, job.NOTHING)
-        self._largest[room.service] = job.Resources(
-            max(largest.cpu, total.cpu),
-            max(largest.memory_mb, total.memory_mb),
-            max(largest.gpus, total.gpus),
+        heard = room.total.maximum(room.largest)
+        self._largest[room.service] = self.largest(room.service).maximum(heard)
+
+    def largest(self, service):
+        """Return the most of each resource that a worker of a service has.
+
+        Args:
+          service: A string.
+
+        Returns:
+          A Resources; `job.NOTHING` if no worker has reported.
+        """
+        return self._largest.get(service, job.NOTHING)
+
+    def holds(self, service, step):
+        """Return whether a worker that serves this entry could run a step's tasks.
+
+        Args:
+          service: A string.
+          step: A Step.
+        """
+        return any(
+            worker.room.service == service
+            and worker.room.total.covers(step.needs)
+            and (not step.label or step.label in worker.room.labels)
+            for worker in self._workers.values()
         )
 
     def could_ever_run(self, service, needs):
-        """Return whether needs fit the largest worker; true if none has reported.
+        """Return whether needs fit the largest worker, whichever entries it serves.
+
+        It is true if no worker has reported.
 
         Args:
           service: A string.
--- a/packages/dispatch/src/jujubeglade/direct/heartbeats.py
+++ b/packages/dispatch/src/jujubeglade/direct/heartbeats.py
@@ -10,7 +10,7 @@
 import math
 
 from jujubeglade.core import message
-from jujubeglade.direct import contract
+from jujubeglade.direct import contract, job
 
 #: The shortest time between two announcements of when room is needed.
 _MIN_NEED_INTERVAL_MS = 10
@@ -50,10 +50,10 @@
 
     def send(self):
         """Send each agent a heartbeat with the time of a Room of its own."""
-        heartbeat = self._heartbeat(0.0)
+        heartbeat = self._heartbeat()
         self._note_sent(heartbeat)
         for worker in self._fleet:
-            worker.link.send(dataclasses.replace(heartbeat, echo_ms=worker.echo_ms))
+            worker.link.send(self._with_own_fields(heartbeat, worker))
 
     def send_to(self, worker):
         """Send one agent a heartbeat.
@@ -61,7 +61,7 @@
         Args:
           worker: A Worker.
         """
-        worker.link.send(self._heartbeat(worker.echo_ms))
+        worker.link.send(self._with_own_fields(self._heartbeat(), worker))
 
     def announce_need(self):
         """Tell all agents by when room is needed, if it has changed."""
@@ -72,7 +72,7 @@
         )
         if self._clock.now_ms() - self._sent_ms < interval_ms:
             return
-        heartbeat = self._heartbeat(0.0)
+        heartbeat = self._heartbeat()
         self._note_sent(heartbeat)
         encoded = message.encode(heartbeat)
         for worker in self._fleet:
@@ -82,11 +82,23 @@
         self._sent_ms = self._clock.now_ms()
         self._announced_need_ms = self._sent_ms + heartbeat.slack_ms
 
-    def _heartbeat(self, echo_ms):
+    def _with_own_fields(self, heartbeat, worker):
+        """Return a heartbeat with what concerns one agent alone."""
+        service = worker.room.service
+        return dataclasses.replace(
+            heartbeat,
+            service=service,
+            largest=self._fleet.largest(service),
+            echo_ms=worker.echo_ms,
+        )
+
+    def _heartbeat(self):
         return contract.Beat(
             self._cluster_state.configuration.revision,
             self._cluster_state.evacuations.revision,
             self._cluster_state.members.revision,
+            "",
+            job.NOTHING,
             self._scheduler.room_needed_by_ms() - self._clock.now_ms(),
-            echo_ms,
+            0.0,
         )
--- a/packages/dispatch/src/jujubeglade/direct/job.py
+++ b/packages/dispatch/src/jujubeglade/direct/job.py
@@ -40,6 +40,14 @@
             self.gpus - other.gpus,
         )
 
+    def maximum(self, other):
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu, other.cpu),
+            max(self.memory_mb, other.memory_mb),
+            max(self.gpus, other.gpus),
+        )
+
     def covers(self, other):
         """Return whether another amount fits into this one."""
         return (
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -14,7 +14,7 @@
 import math
 
 from jujubeglade.core import log
-from jujubeglade.direct import contract, peer_views
+from jujubeglade.direct import contract, job, peer_views
 
 #: The number of Ended messages kept for an owner until it has them, in case its link
 #: fails.
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "_ended",
+        "_largest",
         "_link",
         "_linked_ms",
         "_room_sent_ms",
@@ -78,6 +79,8 @@
         # Pairs of the time of the last Room sent before, and an Ended.
         self._ended = collections.deque(maxlen=_MAX_ENDED)
         self._room_sent_ms = 0.0
+        # The largest worker that it has heard of, by service.
+        self._largest = {}
 
     @property
     def link(self):
@@ -94,6 +97,17 @@
         """Return whether other agents serve this owner from now on."""
         return self.retiring_since_ms is not None
 
+    def largest(self, service):
+        """Return the most of each resource that a worker of a service has.
+
+        Args:
+          service: A string.
+
+        Returns:
+          A Resources, as far as the owner has heard.
+        """
+        return self._largest.get(service, job.NOTHING)
+
     def relink(self, link, now_ms):
         """Replace the link; messages in flight on the previous one are lost.
 
@@ -149,6 +163,8 @@
         """
         self.views.note(beat.evacuations, beat.members)
         self.configuration_revision = beat.configuration
+        if beat.service:
+            self._largest[beat.service] = beat.largest
         self.room_needed_by_ms = now_ms + beat.slack_ms
         self.note_echo(beat.echo_ms)
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -189,23 +189,29 @@
         """Return whether nothing may still run."""
         return not self._attempts
 
-    def room(self, configuration, evacuations, members):
+    def room(self, configuration, evacuations, members, owners):
         """Describe the room, as it is for every owner; see `Owner.send_room`.
 
         Args:
           configuration: An integer, the newest revision that an owner has.
           evacuations: An integer, the revision of this agent's Evacuations.
           members: An integer, that of its Members.
+          owners: An iterable of all Owners, who know of larger workers.
 
         Returns:
           A Room.
         """
         report = self._report
+        service = report.service if report else ""
+        largest = self._capacity.total
+        for owner in owners:
+            largest = largest.maximum(owner.largest(service))
         return contract.Room(
-            report.service if report else "",
+            service,
             report.labels if report else (),
             self._capacity.total,
             self._capacity.free,
+            largest,
             self._refusal() is None,
             0,
             configuration,
