--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -224,3 +224,11 @@
 @_mutant("a link is closed only once nothing runs for its owner")
 def _close_busy_links():
     return ((runner.Runner, "runs_for", lambda self, owner: False),)
+
+
+@_mutant("an end that its owner has is not repeated on a new link")
+def _repeat_all_ends():
+    def note_echo(self, echo_ms):
+        self.alive_ms = max(self.alive_ms, echo_ms)
+
+    return ((owners.Owner, "note_echo", note_echo),)
--- a/features/steps/field_steps.py
+++ b/features/steps/field_steps.py
@@ -56,6 +56,34 @@
     _wait(context, _GOSSIP_MS)
 
 
+@given("the entries of the field are behind {rate:d} bytes a second")
+def step_limit(context, rate):
+    for host in context.site.entries:
+        context.site.network.limit(host.name, rate)
+    context.runner.run(_reset_links(context.site, context.site.entries))
+    _wait(context, _RELINK_MS)
+
+
+@when("all links of entry {index:d} are reset")
+def step_reset_all(context, index):
+    context.runner.run(_reset_links(context.site, [context.site.entries[index]]))
+
+
+@when("all processes of the field are killed and started again at once")
+def step_restart_all(context):
+    context.runner.run(_restart_all(context.site))
+
+
+@then("no link of the field is lost in the next {ms:d} ms")
+def step_no_link_lost(context, ms):
+    assert _count_lost(context, ms) == 0
+
+
+@then("some links of the field are lost in the next {ms:d} ms")
+def step_links_lost(context, ms):
+    assert _count_lost(context, ms) > 0
+
+
 @when("each entry of the field gets a job of a task of {cores:d} cores")
 def step_large_jobs(context, cores):
     site = context.site
@@ -218,6 +246,30 @@
         asyncio.get_running_loop().call_later(_HEAL_S, network.heal, name, entry_name)
 
 
+def _count_lost(context, ms):
+    """Count the links that are open now and not after a while."""
+    pairs = context.site.network._pairs
+    open_now = [pair for pair in pairs.values() if pair.is_open]
+    assert open_now
+    _wait(context, ms)
+    return sum(not pair.is_open for pair in open_now)
+
+
+async def _reset_links(site, hosts):
+    for host in hosts:
+        for pair in site.network.pairs_of(host.name):
+            pair.reset()
+
+
+async def _restart_all(site):
+    for host in (*site.entries, *site.agents):
+        site.kill(host)
+    for host in site.entries:
+        await site.start_entry(host)
+    for host in site.agents:
+        await site.start_agent(host)
+
+
 async def _kill(site, hosts):
     for host in hosts:
         site.kill(host)
--- a/packages/bench/src/jujubeglade/fakes/direct_network.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_network.py
@@ -10,7 +10,7 @@
 
 import result
 
-from jujubeglade.core import clock, link
+from jujubeglade.core import clock, link, message
 
 _DELAY_MS = 1.5
 #: The pause between two checks of whether a frozen entry completes the handshake.
@@ -18,6 +18,35 @@
 _ROUNDING_MS = 1e-6
 
 
+class Pipe:
+    """One direction of a process's connection to the network, of limited bandwidth."""
+
+    __slots__ = ("_bytes_per_ms", "_free_ms")
+
+    def __init__(self, bytes_per_s):
+        """Create an idle pipe.
+
+        Args:
+          bytes_per_s: An integer.
+        """
+        self._bytes_per_ms = bytes_per_s / clock.MILLISECONDS_PER_SECOND
+        self._free_ms = 0.0
+
+    def transit_ms(self, now_ms, body):
+        """Queue a message behind those that were sent before.
+
+        Args:
+          now_ms: A number.
+          body: A message.
+
+        Returns:
+          A number, the time until it has passed.
+        """
+        took_ms = len(message.encode(body)) / self._bytes_per_ms
+        self._free_ms = max(self._free_ms, now_ms) + took_ms
+        return self._free_ms - now_ms
+
+
 class Direction:
     """The messages in transit from one end of a link to the other."""
 
@@ -27,19 +56,22 @@
         "_is_cut",
         "_last_due_ms",
         "_loop",
+        "_pipe",
         "_receiver",
         "delay_ms",
         "is_silent",
         "keeps_aborted",
     )
 
-    def __init__(self, receiver, context):
+    def __init__(self, receiver, context, pipe=None):
         """Create a direction without messages.
 
         Args:
           receiver: The StreamLink at its end.
           context: A contextvars.Context outside of all processes.
+          pipe: A Pipe that its messages pass; None for any bandwidth.
         """
+        self._pipe = pipe
         self.delay_ms = _DELAY_MS
         #: Whether all messages are lost from now on.
         self.is_silent = False
@@ -62,12 +94,19 @@
         """
         if self.is_silent:
             return
-        due_ms = max(self._now_ms() + self.delay_ms, self._last_due_ms)
+        due_ms = max(self._now_ms() + self._travel_ms(arguments), self._last_due_ms)
         self._last_due_ms = due_ms
         self._in_transit.append((due_ms, function, arguments))
         due_s = clock.seconds(due_ms)
         self._loop.call_at(due_s, self._deliver, context=self._context)
 
+    def _travel_ms(self, bodies):
+        """Return how long messages take to arrive."""
+        travel_ms = self.delay_ms
+        for body in bodies if self._pipe is not None else ():
+            travel_ms += self._pipe.transit_ms(self._now_ms(), body)
+        return travel_ms
+
     def cut(self):
         """Hold all messages from now on."""
         self._is_cut = True
@@ -272,16 +311,27 @@
 class Network:
     """The links between agents and entries."""
 
-    __slots__ = ("_context", "_cuts", "_pairs")
+    __slots__ = ("_context", "_cuts", "_pairs", "_pipes")
 
     def __init__(self):
         """Create a network without links."""
         self._context = contextvars.copy_context()
         # The last link of each pair of names, an agent's and an entry's.
         self._pairs = {}
+        # Pairs of Pipes, to and from an entry, by its name.
+        self._pipes = {}
         # The directions that are cut, from the agent and from the entry, by such pairs.
         self._cuts = {}
 
+    def limit(self, entry_name, bytes_per_s):
+        """Limit the bandwidth of an entry, in each direction, for new links.
+
+        Args:
+          entry_name: A string.
+          bytes_per_s: An integer.
+        """
+        self._pipes[entry_name] = (Pipe(bytes_per_s), Pipe(bytes_per_s))
+
     def pair(self, agent_name, entry_name):
         """Return the Pair of the last link between two processes; None without one.
 
@@ -351,8 +401,9 @@
             return result.Err("refused")
         agent_end = StreamLink(entry.identity, caller.process, caller)
         entry_end = StreamLink(caller.identity, entry.process, entry)
-        agent_end.join(entry_end, Direction(entry_end, self._context))
-        entry_end.join(agent_end, Direction(agent_end, self._context))
+        to_entry, from_entry = self._pipes.get(names[1], (None, None))
+        agent_end.join(entry_end, Direction(entry_end, self._context, to_entry))
+        entry_end.join(agent_end, Direction(agent_end, self._context, from_entry))
         self._pairs[names] = Pair(agent_end, entry_end)
         if names in self._cuts:
             self._apply(self._pairs[names], self._cuts[names])
