Log which attempts a crashed worker ran, losses of a task, resizes and the age of reports

What callers saw: nothing new; no decision changes. An attempt ended 'lapsed' both when its worker was silent and when it had crashed (H3); 'attempt repeated' did not count attempts lost with their workers (H1); no line told that a worker had become smaller or on how old a report a start relied (H4). The owners of one task under several entries (H2) show in 'attempt ended' and 'job taken'. Now: 'worker crashed' with the attempts and their ages, once another incarnation proves it; losses in 'attempt repeated'; 'worker resized'; report_age_ms in 'attempt ended'; workers_crashed_total.

--- a/features/direct_logs.feature
+++ b/features/direct_logs.feature
@@ -47,3 +47,37 @@
     And agent 0 is cut off for 3000 ms
     Then the log has "worker gone" with worker "worker-0"
     And its lost_for_ms is at least 1700 and its holding at least 1
+
+  Scenario: The log tells which attempts a worker ran when it crashed, and how old they were
+    Given a site of 1 entries and 2 workers of 16 cores
+    And the log is recorded
+    When entry 0 gets a job of 2 tasks of 8 cores for 2500 ms
+    And worker 0 crashes and is back after 1500 ms
+    Then the log has "worker crashed" with worker "worker-0"
+    And its attempts are "0000000000000001.0.0/1" and were 50 to 310 ms old
+    And the log has "attempt repeated" with losses "1"
+
+  Scenario: The log doesn't take a worker that was only silent for one that has crashed
+    Given a site of 1 entries and 2 workers of 16 cores
+    And the log is recorded
+    When entry 0 gets a job of 2 tasks of 8 cores for 2500 ms
+    And worker 0 is silent for 3000 ms
+    And 500 ms pass on the site
+    Then the log has "attempt repeated" with losses "1"
+    And the log has no "worker crashed"
+
+  Scenario: The log tells on how old a report of the worker an attempt relied
+    Given a site of 1 entries and 1 workers of 16 cores
+    And the log is recorded
+    When 400 ms pass on the site
+    And entry 0 gets a job of 1 tasks of 4 cores for 100 ms
+    And 200 ms pass on the site
+    Then the log has "attempt ended" with how "done"
+    And its report_age_ms is at least 400 and its ran_ms at least 100
+
+  Scenario: The log tells that a worker has fewer resources than before
+    Given a site of 1 entries and 1 workers of 16 cores
+    And the log is recorded
+    When worker 0 shrinks to 6 cores
+    Then the log has "worker resized" with former_cpu "16000"
+    And its cpu is at least 6000 and its free_cpu at least 16000
--- a/features/steps/direct_logs_steps.py
+++ b/features/steps/direct_logs_steps.py
@@ -29,6 +29,16 @@
     context.runner.run(_silence(context.site.nodes[index].worker, ms))
 
 
+@when("worker {index:d} crashes and is back after {ms:d} ms")
+def step_crash_and_return(context, index, ms):
+    context.runner.run(_crash(context.site.nodes[index].worker, ms))
+
+
+@when("worker {index:d} shrinks to {cores:d} cores")
+def step_shrink(context, index, cores):
+    context.runner.run(_resize(context.site.nodes[index].worker, cores * 1000))
+
+
 @when("the links of entry {entry:d} break while the client of job {index:d} leaves")
 def step_break_links(context, entry, index):
     context.runner.run(_break_links(context, entry, index))
@@ -68,6 +78,19 @@
     assert context.log_line[second] >= other_low, context.log_line
 
 
+@then('its attempts are "{text}" and were {low:d} to {high:d} ms old')
+def step_attempts(context, text, low, high):
+    listed = context.log_line["attempts"].split()
+    assert [entry.rpartition("/")[0] for entry in listed] == text.split(), listed
+    ages_ms = [int(entry.rpartition("/")[2]) for entry in listed]
+    assert all(low <= age_ms <= high for age_ms in ages_ms), ages_ms
+
+
+@then('the log has no "{event}"')
+def step_no_line(context, event):
+    assert event not in {record.msg for record in context.log_records}
+
+
 async def _lose_stops(context, ms, event):
     workers = [node.worker for node in context.site.nodes]
     await asyncio.sleep(0.1)
@@ -107,6 +130,22 @@
     worker.silent = False
 
 
+async def _crash(worker, ms):
+    """Crash a worker that is away for some time."""
+    await asyncio.sleep(0.3)
+    worker.crash(reports=False)
+    worker.silent = True
+    await asyncio.sleep(ms / 1000)
+    worker.silent = False
+    worker.report()
+    await asyncio.sleep(0.5)
+
+
+async def _resize(worker, cpu):
+    worker.resize(cpu)
+    await asyncio.sleep(0)
+
+
 async def _break_links(context, entry, index):
     site = context.site
     await asyncio.sleep(0.1)
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -198,6 +198,15 @@
             )
         )
 
+    def resize(self, cpu):
+        """Change the resources of the worker while it runs, and report them.
+
+        Args:
+          cpu: An integer, thousandths of a core.
+        """
+        self.total = dataclasses.replace(self.total, cpu=cpu)
+        self.report()
+
     def attach(self, listener):
         """Send the reports to the next incarnation of the agent, starting now."""
         self._listener = listener
--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -39,6 +39,7 @@
     REJECTED = "tasks_rejected"
     RETRIED = "tasks_retried"
     HEDGED = "tasks_hedged"
+    CRASHED = "workers_crashed"
     MESSAGES = "stream_messages"
     SENT = "stream_messages_sent"
 
@@ -66,6 +67,7 @@
     Counter.REJECTED: (("kind",), "Task attempts that will never start here."),
     Counter.RETRIED: ((), "Task attempts after a failed one."),
     Counter.HEDGED: ((), "Task attempts beside a slow one."),
+    Counter.CRASHED: ((), "Crashes of the worker while it ran attempts."),
     Counter.MESSAGES: (
         ("type", "use"),
         "Stream messages received, by type, and whether they were needed or wasted.",
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -30,6 +30,9 @@
 #: The job class that labels the latency metric.
 _CLASS = "direct"
 
+#: The ends of attempts whose worker or agent went away.
+_LOSSES = (contract.End.LAPSED, contract.End.LOST)
+
 _log = log.get(__name__)
 
 
@@ -430,12 +433,21 @@
         job = task.job
         if job.answer.done():
             return
+        if how in _LOSSES:
+            task.losses += 1
         if task.failures >= job.route.max_attempts:
             self._answer(job, job_.State.FAILED, f"task {task.name} failed")
             return
         task.run += 1
         self._metrics.count(metrics.Counter.RETRIED)
-        _log.info("attempt repeated", task=task.name, run=task.run, after=how)
+        _log.info(
+            "attempt repeated",
+            task=task.name,
+            run=task.run,
+            after=how,
+            failures=task.failures,
+            losses=task.losses,
+        )
         self._requeue(task)
 
     def _requeue(self, task):
--- a/packages/dispatch/src/jujubeglade/direct/incarnations.py
+++ b/packages/dispatch/src/jujubeglade/direct/incarnations.py
@@ -50,6 +50,11 @@
         """Return whether the current one may have ended."""
         return self._has_left or self._successor is not None
 
+    @property
+    def has_ended(self):
+        """Return whether the current one has ended without having sent a leave."""
+        return self._current in self._past and not self._has_left
+
     def may_follow(self, instance):
         """Return whether an instance may have started after the current one.
 
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -23,6 +23,7 @@
         "failures",
         "name",
         "job",
+        "losses",
         "phase",
         "run",
         "sent_ms",
@@ -44,6 +45,8 @@
         self.phase = Phase.WAITING
         self.run = 1
         self.failures = 0
+        #: The number of its attempts that ended with their worker.
+        self.losses = 0
         #: The incarnations of the agents whose workers failed it.
         self.failed_on = set()
         self.sent_ms = 0.0
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -31,6 +31,7 @@
     foreign_attempts,
     held_begins,
     incarnations,
+    interrupted,
     report_cache,
     stops,
     worker,
@@ -84,10 +85,12 @@
         "_lease_ms",
         "_resubmit_ms",
         "_incarnations",
+        "_interrupted",
         "_metrics",
         "_is_evacuated",
         "_worker_client",
         "_report",
+        "_reported_ms",
         "_responsive",
         "_unanswered_polls",
         "_token",
@@ -132,9 +135,13 @@
         self._capacity = capacity.new_capacity()
         self._instance_known = asyncio.Event()
         self._incarnations = incarnations.Incarnations()
+        self._interrupted = interrupted.new_interrupted_attempts()
         self._token = clock.wall_ms()
         self._token_floor = self._token
         self._report = None
+        # When the worker last reported, on the clock that also counts while this VM is
+        # suspended; None if the report comes from the store.
+        self._reported_ms = None
         self._lease = None
         self._cursor = 0
         self._foreign = foreign_attempts.ForeignAttempts(self._background, self._stop)
@@ -275,6 +282,7 @@
             return
         now_ms = self._clock.now_ms()
         attempt = attempt_.new_attempt(owner, begin, now_ms, self._token)
+        attempt.report_age_ms = self._report_age_ms()
         if attempt.owner_silence_ms > contract.SILENCE_TIMEOUT_MS:
             _log.warning(
                 "attempt of a silent owner",
@@ -338,15 +346,29 @@
             self._adopt_instance(report)
         elif report.sequence <= self._report.sequence:
             return
-        elif report.draining and not self._report.draining:
-            _log.info("worker draining", worker=report.instance.name)
+        else:
+            self._log_changes(report)
         self._incarnations.note_report()
         self._report = report
         if report.sequence != report_cache.STORED_SEQUENCE:
             self._unconfirmed_until_ms = math.inf
+            self._reported_ms = self._clock.elapsed_ms()
         self._capacity.resize(report.total)
         self._announcer.on_state_change()
 
+    def _log_changes(self, report):
+        """Log how a report differs from the one before of the same incarnation."""
+        if report.draining and not self._report.draining:
+            _log.info("worker draining", worker=report.instance.name)
+        if report.total != self._report.total:
+            _log.info(
+                "worker resized",
+                worker=report.instance.name,
+                cpu=report.total.cpu,
+                former_cpu=self._report.total.cpu,
+                free_cpu=self._capacity.free.cpu,
+            )
+
     def on_left(self, name):
         """Handle the departure of the worker.
 
@@ -394,6 +416,12 @@
             return contract.Refusal.EVACUATED
         return None
 
+    def _report_age_ms(self):
+        """Return the age of the worker's report; -1 if it comes from the store."""
+        if self._reported_ms is None:
+            return -1
+        return self._clock.elapsed_ms() - self._reported_ms
+
     def _mismatch(self, begin):
         """Return the Refusal of an attempt that can't run here; None for others."""
         if begin.service != self._report.service:
@@ -529,6 +557,7 @@
             halted_for_ms=int(halted_for_ms),
             stop_calls=attempt.stop_calls,
             token=attempt.token,
+            report_age_ms=int(attempt.report_age_ms),
             owner=attempt.owner.identity.name,
         )
         first = self._announcer.offer(attempt.owner)
@@ -631,6 +660,7 @@
     def _apply(self, reply, sent_ms, token):
         """Reconcile the attempts with what the worker lists."""
         self._lease.note_answer(self._clock.now_ms(), token)
+        self._note_alive()
         self._unanswered_polls = 0
         for finished in reply.finished:
             self._handle_finished(finished)
@@ -654,6 +684,13 @@
             self._clean = clean
             self._announcer.on_state_change()
 
+    def _note_alive(self):
+        """Conclude from an answer whether interrupted attempts ended in a crash."""
+        interrupted_instance = self._interrupted.instance
+        if interrupted_instance not in (None, self._instance):
+            self._note_crash()
+        self._interrupted.clear()
+
     def _handle_finished(self, finished):
         if finished.number <= self._cursor:
             return
@@ -700,6 +737,7 @@
             self._log_lapse(now_ms)
         for attempt in list(self._attempts.values()):
             if attempt.phase is attempt_.Phase.RUNNING:
+                self._add_interrupted(attempt)
                 self._end(attempt, contract.End.LAPSED)
         if self._incarnations.is_doubtful:
             self._replace_instance("worker silent")
@@ -754,6 +792,7 @@
         self._cursor = 0
         self._clean = False
         self._responsive = False
+        self._reported_ms = None
         self._unconfirmed_until_ms = self._clock.now_ms() + _UNCONFIRMED_LIMIT_MS
         self._raise_token(self._token + 1)
         self._instance_known.set()
@@ -768,6 +807,7 @@
         if self._instance is None:
             return
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
+        self._note_interrupted()
         self._incarnations.lose()
         self._foreign.clear()
         for attempt in list(self._attempts.values()):
@@ -776,6 +816,31 @@
             elif attempt.phase is attempt_.Phase.RUNNING:
                 attempt.phase = attempt_.Phase.UNRESOLVED
 
+    def _note_interrupted(self):
+        """Keep which attempts ran in an incarnation that is given up."""
+        if self._incarnations.has_left or self._report.draining:
+            self._interrupted.clear()
+            return
+        for attempt in self._attempts.values():
+            self._add_interrupted(attempt)
+        if self._incarnations.has_ended:
+            self._note_crash()
+
+    def _add_interrupted(self, attempt):
+        self._interrupted.add(self._instance, attempt, self._lease.answered_ms)
+
+    def _note_crash(self):
+        """Log which attempts ran in an incarnation that another one has replaced."""
+        if self._interrupted.instance is None:
+            return
+        self._metrics.count(metrics.Counter.CRASHED)
+        _log.warning(
+            "worker crashed",
+            worker=self._interrupted.instance.name,
+            attempts=_texts(self._interrupted.attempts),
+        )
+        self._interrupted.clear()
+
     def _drop_starts_if_renamed(self, previous, instance):
         """Drop the remaining attempts if the new worker has another name.
 
@@ -816,3 +881,10 @@
 
     def _spawn(self, coroutine):
         return self._background.spawn(coroutine)
+
+
+def _texts(attempts):
+    """Write Interrupted attempts as one text for the log: task/run/age in ms."""
+    return " ".join(
+        f"{attempt.task}/{attempt.run}/{int(attempt.age_ms)}" for attempt in attempts
+    )
--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -69,6 +69,11 @@
         """Return the number of extensions that may still be executed."""
         return len(self._open)
 
+    @property
+    def answered_ms(self):
+        """Return when the worker last answered a poll; first, when it was adopted."""
+        return self._answered_ms
+
     def ages_ms(self, now_ms):
         """Return the ages of the last answer and of the last extension.
 
--- a/packages/tools/src/jujubeglade/tools/explain.py
+++ b/packages/tools/src/jujubeglade/tools/explain.py
@@ -31,12 +31,14 @@
     "store regained",
     "was suspended",
     "worker answers",
+    "worker crashed",
     "worker draining",
     "worker gone",
     "worker lease expired",
     "worker lost",
     "worker reached",
     "worker reports",
+    "worker resized",
     "worker silent",
 )
 _SENT_EVENT = "attempt sent"
