--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -143,6 +143,21 @@
     await asyncio.sleep(3)
 
 
+@fault("a worker shrinks while its agent is suspended")
+async def shrink_while_suspended(site):
+    """Suspend agent 0 for 5 s; its worker shrinks, and reports late when it is back."""
+    worker = site.agents[0].worker
+    site.agents[0].process.freeze()
+    worker.loses_reports = True
+    worker.resize(_CORES)
+    await asyncio.sleep(5)
+    site.agents[0].process.resume()
+    await asyncio.sleep(0.5)
+    submission = site.submission(_TASKS, _CORES, _RUN_MS)
+    direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(1)
+
+
 @fault("a link is reset after a worker has crashed between two submissions")
 async def repeat_ended(site):
     """Submit a job to entry 0 twice, crash worker 0 between, then reset its link."""
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -19,6 +19,7 @@
 _ANSWER_TIMEOUT_MS = 300
 _POLL_ANSWER_TIMEOUT_MS = 200
 _STOP_ANSWER_TIMEOUT_MS = 100
+_REPORT_INTERVAL_MS = 1500
 
 
 class Witness:
@@ -38,6 +39,8 @@
         #: The tasks that were started, and those that an attempt has completed.
         self.started = set()
         self.done = set()
+        #: The number of workers that each task has crashed.
+        self.crashes = collections.Counter()
 
     @property
     def starts(self):
@@ -65,6 +68,10 @@
         if how == contract.End.DONE:
             self.done.add(task)
 
+    def record_crash(self, task):
+        """Record that a task has crashed its worker."""
+        self.crashes[task] += 1
+
     def record_overload(self, name, used, total):
         """Record that a worker runs more than its capacity."""
         self.violations.append(f"{name} runs {used.cpu} of {total.cpu}")
@@ -135,6 +142,15 @@
         self.checks_incarnation = True
         #: Whether no call gets an answer.
         self.silent = False
+        #: Whether its reports are lost.
+        self.loses_reports = False
+        #: The tasks that crash each worker that starts them.
+        self.crashing_tasks = frozenset()
+        #: How long after its start such a task crashes the worker; before the answer
+        #: to the start if it is 0.
+        self.crash_delay_ms = 10
+        #: How long the worker is away after such a crash.
+        self.crash_ms = 3300
         self.draining = False
         #: The number of stops that it was sent.
         self.stop_calls = 0
@@ -178,15 +194,17 @@
 
     async def open(self, listener):
         """Send the first report; see `WorkerClient.open`."""
-        self._listener = listener
-        self.report()
+        self.attach(listener)
+        self._call_later(_REPORT_INTERVAL_MS, self._report_again)
 
     async def close(self):
         """Do nothing; see `WorkerClient.close`."""
 
     def report(self):
-        """Send a report to the agent."""
+        """Send a report to the agent, unless reports are lost."""
         self._sequence += 1
+        if self.loses_reports:
+            return
         self._listener.on_report(
             worker.Report(
                 self.instance,
@@ -198,6 +216,10 @@
             )
         )
 
+    def _report_again(self):
+        self.report()
+        self._call_later(_REPORT_INTERVAL_MS, self._report_again)
+
     def resize(self, cpu):
         """Change the resources of the worker while it runs, and report them.
 
@@ -231,6 +253,11 @@
         if reports:
             self.report()
 
+    def leave(self):
+        """Send that it leaves, and end with all that it runs."""
+        self._listener.on_left(self.name)
+        self.crash(reports=False)
+
     async def start(self, target, start):
         """Start a task; see `WorkerClient.start`."""
         if self._rng.random() < self.late_start_share:
@@ -241,7 +268,10 @@
             return await self._time_out(worker.Reply)
         if self.silent:
             return await self._time_out(worker.Reply)
-        return worker.Reply(self._start(target, start), self._now_ms())
+        answer = self._start(target, start)
+        if self.silent:
+            return await self._time_out(worker.Reply)
+        return worker.Reply(answer, self._now_ms())
 
     async def stop(self, target, task, run):
         """Stop an attempt; see `WorkerClient.stop`."""
@@ -314,8 +344,31 @@
             used = used.plus(attempt.needs)
         if not self.total.covers(used):
             self._witness.record_overload(self.name, used, self.total)
+        if start.task in self.crashing_tasks:
+            self._crash_soon(start.task)
         return worker.Answer.OK
 
+    def _crash_soon(self, task):
+        if self.crash_delay_ms:
+            self._call_later(self.crash_delay_ms, self._crash_by, task)
+        else:
+            self._crash_by(task)
+
+    def _crash_by(self, task):
+        """Crash because a task runs, and be away for some time."""
+        if task not in self._attempts:
+            return
+        self._witness.record_crash(task)
+        self.crash(reports=False)
+        self.silent = True
+        self.loses_reports = True
+        self._call_later(self.crash_ms, self._return)
+
+    def _return(self):
+        self.silent = False
+        self.loses_reports = False
+        self.report()
+
     def _stop(self, target, task, run):
         answer = self._admit(target)
         if answer is not worker.Answer.OK:
