Start attempts only by a recent report of the worker's resources

What callers saw: nothing yet; the users' new rule LIMIT breaks when a worker shrinks while its agent can't know: 16 cores used of 4 or 6 in three scenarios. Class: acting on a permission that has run out. Now: a start needs a report no older than contact_timeout_ms and one report_interval_ms, less 400 ms, by the agent's clock that counts suspension, and by the worker's own clock, which a report tells and each answer confirms. So a report that was long under way, or that the store has kept, is as old as it is. The copy in the store is written with each report (one call instead of a read and a write), so that a restarted agent still starts before the next report. Ruled out: not starting by a copy at all (the scenario 'A restarted agent takes work before its worker's next report', and the seconds after a power cut); an age by the wall clock (it jumps).

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -97,6 +97,7 @@
       | the fencing token rises after a poll without an answer                        |
       | a start is refused when the lease outlives what its owner is alive for        |
       | the time that counts for a halted attempt stands still                        |
+      | attempts start only by a recent report of the worker                          |
 
   Scenario Outline: Each rule prevents a violation in some situation while a rule that overlaps it is left out
     Given a site of 2 entries and 3 workers of 16 cores
--- a/features/direct_logs.feature
+++ b/features/direct_logs.feature
@@ -69,7 +69,7 @@
   Scenario: The log tells on how old a report of the worker an attempt relied
     Given a site of 1 entries and 1 workers of 16 cores
     And the log is recorded
-    When 400 ms pass on the site
+    When 300 ms pass on the site
     And entry 0 gets a job of 1 tasks of 4 cores for 100 ms
     And 200 ms pass on the site
     Then the log has "attempt ended" with how "done"
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -232,3 +232,11 @@
         self.alive_ms = max(self.alive_ms, echo_ms)
 
     return ((owners.Owner, "note_echo", note_echo),)
+
+
+@_mutant("attempts start only by a recent report of the worker")
+def _start_by_any_report():
+    def report_age_ms(self, now_ms):
+        return 0.0
+
+    return ((runner.Runner, "_report_age_ms", report_age_ms),)
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -273,3 +273,13 @@
     for worker in workers:
         worker.draining = draining
         worker.report()
+
+
+@situation("attempts start only by a recent report of the worker")
+async def shrink_unheard(site):
+    """Let every worker shrink while its reports are lost, and submit tasks later."""
+    for node in site.nodes:
+        node.worker.loses_reports = True
+        node.worker.resize(4000)
+    await asyncio.sleep(4.5)
+    await _submit(site, 0, 12)
--- a/features/shrinking_workers.feature
+++ b/features/shrinking_workers.feature
@@ -47,6 +47,13 @@
     And 1000 ms pass on the site
     Then no worker recorded a violation
 
+  Scenario: A report that was under way for long allows no start
+    Given a site of 1 entries and 1 workers of 16 cores
+    When worker 0 shrinks to 6 cores, and its report of before arrives 5000 ms late
+    And entry 0 gets a job of 4 tasks of 4 cores for 300 ms
+    And 1000 ms pass on the site
+    Then no worker recorded a violation
+
   Scenario: An agent that was suspended starts nothing by a report from before
     Given a field of 1 entries and 1 workers of 16 cores
     When the fault "a worker shrinks while its agent is suspended" occurs
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -8,6 +8,10 @@
 from jujubeglade.fakes import direct_site
 
 _POLL_S = 0.02
+#: Longer than a report is relied on.
+_AGENT_DOWN_S = 4.5
+#: Above those of all reports of a scenario.
+_LATEST_SEQUENCE = 1000
 
 
 @given("task {index:d} of job {number:d} crashes each worker that starts it")
@@ -81,6 +85,15 @@
     context.runner.run(_restart_with_old_copy(context.site, index, cores))
 
 
+@when(
+    "worker {index:d} shrinks to {cores:d} cores, and its report of before arrives "
+    "{ms:d} ms late"
+)
+def step_delayed_report(context, index, cores, ms):
+    node = context.site.nodes[index]
+    context.runner.run(_delay_report(node, cores, ms))
+
+
 @then("task {index:d} of job {number:d} has crashed at most {most:d} workers")
 def step_crashes(context, index, number, most):
     crashes = context.site.witness.crashes[_task(index, number)]
@@ -203,16 +216,34 @@
 async def _restart_with_old_copy(site, index, cores):
     """Restart an agent that gets its worker's last report from the store only."""
     simulated = site.nodes[index].worker
-    report = worker.Report(
+    report = _report(simulated, report_cache.STORED_SEQUENCE)
+    simulated.loses_reports = True
+    simulated.resize(cores * 1000)
+    await site.lose_agent(index)
+    await asyncio.sleep(_AGENT_DOWN_S)
+    await site.restart_node(index)
+    site.nodes[index].runner.on_report(report)
+    await asyncio.sleep(0.5)
+
+
+async def _delay_report(node, cores, ms):
+    """Deliver a report that a worker made before it shrank."""
+    report = _report(node.worker, _LATEST_SEQUENCE)
+    node.worker.loses_reports = True
+    node.worker.resize(cores * 1000)
+    await asyncio.sleep(ms / 1000)
+    node.runner.on_report(report)
+    await asyncio.sleep(0.1)
+
+
+def _report(simulated, sequence):
+    """Make the report that a worker would send now."""
+    return worker.Report(
         simulated.instance,
-        report_cache.STORED_SEQUENCE,
+        sequence,
         simulated.service,
         simulated.labels,
         simulated.total,
         False,
+        simulated.clock_ms,
     )
-    simulated.loses_reports = True
-    simulated.resize(cores * 1000)
-    await site.restart_node(index)
-    site.nodes[index].runner.on_report(report)
-    await asyncio.sleep(0.5)
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -226,6 +226,7 @@
     async def open(self, listener):
         """Start to receive the worker's reports; see `WorkerClient.open`."""
         self.worker.attach(listener)
+        self.worker.start_reports()
 
     async def close(self):
         """Do nothing; see `WorkerClient.close`."""
@@ -303,6 +304,8 @@
         platform=_PLATFORM,
         hold_ms=_HOLD_MS,
         resubmit_ms=direct_site.RESUBMIT_DELAY_MS,
+        contact_timeout_ms=3000,
+        report_interval_ms=1500,
         seeds=(),
         stream=types.SimpleNamespace(port=_PORT),
         worker=worker,
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -163,6 +163,7 @@
         self._listener = None
         self._started_ms = 1
         self._sequence = 0
+        self._sends_reports = False
         self._reset()
 
     def _reset(self):
@@ -182,6 +183,11 @@
         """Return the Instance that identifies the current incarnation."""
         return worker.Instance(self.name, self._started_ms)
 
+    @property
+    def clock_ms(self):
+        """Return the worker's own clock."""
+        return self._now_ms()
+
     @property
     def token(self):
         """Return the highest fencing token that it has seen."""
@@ -195,7 +201,7 @@
     async def open(self, listener):
         """Send the first report; see `WorkerClient.open`."""
         self.attach(listener)
-        self._call_later(_REPORT_INTERVAL_MS, self._report_again)
+        self.start_reports()
 
     async def close(self):
         """Do nothing; see `WorkerClient.close`."""
@@ -213,9 +219,16 @@
                 self.labels,
                 self.total,
                 self.draining,
+                self.clock_ms,
             )
         )
 
+    def start_reports(self):
+        """Send reports at an interval, if it doesn't yet."""
+        if not self._sends_reports:
+            self._sends_reports = True
+            self._call_later(_REPORT_INTERVAL_MS, self._report_again)
+
     def _report_again(self):
         self.report()
         self._call_later(_REPORT_INTERVAL_MS, self._report_again)
--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -12,6 +12,7 @@
 import aiohttp
 from aiohttp import web
 
+from jujubeglade.core import clock
 from jujubeglade.direct import job, worker
 from jujubeglade.fakes import direct_worker
 
@@ -46,6 +47,7 @@
         self.poll_changes = {}
         self.is_reporting = True
         self._control = control
+        self._loop = asyncio.get_running_loop()
         self._open = weakref.WeakSet()
         self._silent = weakref.WeakSet()
         self._runner = None
@@ -114,6 +116,7 @@
             },
             "labels": list(self.inner.labels),
             "sequence": sequence,
+            "clockMs": int(self._loop.time() * clock.MILLISECONDS_PER_SECOND),
             "born": self.inner.instance.started_ms,
         }
 
--- a/packages/core/src/jujubeglade/core/_settings_direct.py
+++ b/packages/core/src/jujubeglade/core/_settings_direct.py
@@ -66,6 +66,16 @@
         "what runs for an entry that may be lost ends before that.",
         1_300,
     )
+    contact_timeout_ms: int = rules.integer(
+        1_000,
+        600_000,
+        "How long a worker's report is relied on after the next one was due; the "
+        "worker may have fewer resources by then.",
+        3_000,
+    )
+    report_interval_ms: int = rules.integer(
+        100, 600_000, "The interval of the worker's reports.", 1_500
+    )
     control: records.Address = rules.listener("Where the worker reports.")
     worker: records.Address = rules.listener("Where the worker accepts calls.")
 
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -22,6 +22,8 @@
 )
 
 _TICK_MS = 50
+#: A start reaches the worker within this time after it was admitted.
+_START_MARGIN_MS = 400
 #: The part of the grace period that is reserved for closing.
 _CLOSING_RESERVE_MS = 500
 
@@ -50,8 +52,7 @@
         self._runner = runner.Runner(
             self._worker_client,
             clock,
-            settings.hold_ms,
-            settings.resubmit_ms,
+            _limits(settings),
             self._is_evacuated,
             self._announcer,
             self._metrics,
@@ -245,6 +246,14 @@
             self._announcer.send_heartbeats()
 
 
+def _limits(settings):
+    """Return the Limits of a runner that the settings of its agent imply."""
+    report_ms = settings.contact_timeout_ms + settings.report_interval_ms
+    return runner.Limits(
+        settings.hold_ms, settings.resubmit_ms, report_ms - _START_MARGIN_MS
+    )
+
+
 def new_agent(settings):
     """Make an agent.
 
--- a/packages/dispatch/src/jujubeglade/direct/attempt.py
+++ b/packages/dispatch/src/jujubeglade/direct/attempt.py
@@ -56,8 +56,8 @@
         self._alive_ms = None
         #: The number of stops that the worker was sent for it.
         self.stop_calls = 0
-        #: The age of the worker's report when it was admitted; -1 for a stored report.
-        self.report_age_ms = -1
+        #: The age of the worker's report when it was admitted.
+        self.report_age_ms = 0.0
         #: For how long the owner had been silent when it sent this attempt.
         self.owner_silence_ms = owner.silence_ms
         #: Whether the worker incarnation that it was sent to has listed it. The answer
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -43,6 +43,7 @@
     WORKER_REFUSED = "worker_refused"
     LOST = "lost"
     OWNER_UNHEARD = "owner_unheard"
+    OUTDATED_REPORT = "outdated_report"
 
 
 class End(enum.StrEnum):
--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -5,7 +5,8 @@
 processes that wait would be most of the outage. So each agent keeps a copy of the last
 report in the store. The copy only identifies the worker: the worker must answer, in the
 same incarnation, before anything starts, and a copy that no report confirms soon is not
-relied on.
+relied on. It is written again with each report: the worker's clock in it tells how old
+it is (`report_age`).
 
 The copy also has the agent's fencing token. The next incarnation of the agent chooses a
 higher one even if the wall clock has been set back meanwhile.
@@ -38,6 +39,7 @@
       labels: A tuple of strings.
       total: A Resources.
       token: An integer, the `token_floor` of the agent's Runner.
+      clock_ms: A number, the worker's clock at the report; 0 if it isn't known.
     """
 
     name: str
@@ -46,6 +48,7 @@
     labels: tuple
     total: job.Resources
     token: int = 0
+    clock_ms: float = 0
 
     def report(self):
         """Return the Report, older than all of the worker; None without a worker."""
@@ -53,7 +56,13 @@
             return None
         instance = worker.Instance(self.name, self.started_ms)
         return worker.Report(
-            instance, STORED_SEQUENCE, self.service, self.labels, self.total, False
+            instance,
+            STORED_SEQUENCE,
+            self.service,
+            self.labels,
+            self.total,
+            False,
+            self.clock_ms,
         )
 
 
@@ -69,9 +78,17 @@
     """
     if report is None or report.draining:
         return message.encode(Copy("", 0, "", (), job.NOTHING, token))
-    name, started_ms = report.instance.name, report.instance.started_ms
-    copy = Copy(name, started_ms, report.service, report.labels, report.total, token)
-    return message.encode(copy)
+    return message.encode(
+        Copy(
+            report.instance.name,
+            report.instance.started_ms,
+            report.service,
+            report.labels,
+            report.total,
+            token,
+            report.clock_ms,
+        )
+    )
 
 
 def unpack(data):
@@ -95,7 +112,7 @@
 class ReportCache:
     """The stored report of one agent's worker."""
 
-    __slots__ = ("_key", "_runner", "_store", "_stored")
+    __slots__ = ("_key", "_revision", "_runner", "_store", "_stored")
 
     def __init__(self, store, name, runner):
         """Prepare the cache; nothing runs yet.
@@ -108,8 +125,10 @@
         self._store = store
         self._key = PREFIX + name
         self._runner = runner
-        # The value in the store as last read or written; None before.
+        # The value in the store as last read or written, and its revision; None before
+        # the first read, and when a write has failed.
         self._stored = None
+        self._revision = None
 
     async def run(self):
         """Pass the copy to the runner, then keep it up to date until cancelled."""
@@ -123,13 +142,12 @@
     async def _read(self):
         try:
             async with asyncio.timeout(clock.seconds(_READ_TIMEOUT_MS)):
-                read = await self._store.get(self._key)
+                problem = await self._fetch()
         except TimeoutError:
             return
-        if read.is_err():
-            _log.warning("worker not recalled", cause=read.err_value)
+        if problem is not None:
+            _log.warning("worker not recalled", cause=problem)
             return
-        self._stored = read.ok_value.value
         copy = unpack(self._stored)
         if copy is None:
             return
@@ -141,15 +159,23 @@
 
     async def _write(self, latest):
         """Write the copy; a failed write is retried at the next check."""
-        read = await self._store.get(self._key)
-        if read.is_err():
-            return
-        self._stored = read.ok_value.value
-        if self._stored == latest:
+        if self._revision is None:
+            await self._fetch()
+        if self._revision is None or self._stored == latest:
             return
-        revision = read.ok_value.mod_revision
-        written = await self._store.compare_and_swap(self._key, latest, revision)
+        written = await self._store.compare_and_swap(self._key, latest, self._revision)
         if written.is_ok():
             self._stored = latest
+            self._revision = written.ok_value
         else:
+            self._revision = None
             _log.info("copy of the worker not written", cause=written.err_value)
+
+    async def _fetch(self):
+        """Read the copy; return a Problem, or None."""
+        read = await self._store.get(self._key)
+        if read.is_err():
+            return read.err_value
+        self._stored = read.ok_value.value
+        self._revision = read.ok_value.mod_revision
+        return None
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -32,6 +32,7 @@
     held_begins,
     incarnations,
     interrupted,
+    report_age,
     report_cache,
     stops,
     worker,
@@ -68,6 +69,23 @@
 _log = log.get(__name__)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The times that bound what an agent may conclude or do.
+
+    Attributes:
+      lease_ms: An integer, the longest lease of the worker.
+      resubmit_ms: An integer, how long after their connection broke clients submit
+        again.
+      report_valid_ms: An integer, the age of the worker's report up to which attempts
+        may start by the resources in it.
+    """
+
+    lease_ms: int
+    resubmit_ms: int
+    report_valid_ms: int
+
+
 class Runner:
     """Runs attempts on one worker."""
 
@@ -82,15 +100,14 @@
         "_foreign",
         "_held",
         "_lease",
-        "_lease_ms",
-        "_resubmit_ms",
+        "_limits",
         "_incarnations",
         "_interrupted",
         "_metrics",
         "_is_evacuated",
         "_worker_client",
         "_report",
-        "_reported_ms",
+        "_report_age",
         "_responsive",
         "_unanswered_polls",
         "_token",
@@ -104,8 +121,7 @@
         self,
         worker_client,
         clock,
-        lease_ms,
-        resubmit_ms,
+        limits,
         is_evacuated,
         announcer,
         metrics,
@@ -115,9 +131,7 @@
         Args:
           worker_client: A WorkerClient.
           clock: A Clock.
-          lease_ms: An integer, the longest lease of the worker.
-          resubmit_ms: An integer, how long after their connection broke clients submit
-            again.
+          limits: A Limits.
           is_evacuated: A function without arguments that returns whether this
             availability zone is out of service.
           announcer: An Announcer, notified of changes of the room.
@@ -126,8 +140,7 @@
         self._metrics = metrics
         self._worker_client = worker_client
         self._clock = clock
-        self._lease_ms = lease_ms
-        self._resubmit_ms = resubmit_ms
+        self._limits = limits
         self._is_evacuated = is_evacuated
         self._announcer = announcer
         self._attempts = {}
@@ -139,9 +152,7 @@
         self._token = clock.wall_ms()
         self._token_floor = self._token
         self._report = None
-        # When the worker last reported, on the clock that also counts while this VM is
-        # suspended; None if the report comes from the store.
-        self._reported_ms = None
+        self._report_age = report_age.ReportAge()
         self._lease = None
         self._cursor = 0
         self._foreign = foreign_attempts.ForeignAttempts(self._background, self._stop)
@@ -282,7 +293,7 @@
             return
         now_ms = self._clock.now_ms()
         attempt = attempt_.new_attempt(owner, begin, now_ms, self._token)
-        attempt.report_age_ms = self._report_age_ms()
+        attempt.report_age_ms = self._report_age_ms(now_ms)
         if attempt.owner_silence_ms > contract.SILENCE_TIMEOUT_MS:
             _log.warning(
                 "attempt of a silent owner",
@@ -352,7 +363,7 @@
         self._report = report
         if report.sequence != report_cache.STORED_SEQUENCE:
             self._unconfirmed_until_ms = math.inf
-            self._reported_ms = self._clock.elapsed_ms()
+        self._report_age.note(report, self._clock.elapsed_ms())
         self._capacity.resize(report.total)
         self._announcer.on_state_change()
 
@@ -402,8 +413,11 @@
             return contract.Refusal.NO_WORKER
         if self._incarnations.is_doubtful:
             return contract.Refusal.NO_WORKER
-        if self._clock.now_ms() > self._unconfirmed_until_ms:
+        now_ms = self._clock.now_ms()
+        if now_ms > self._unconfirmed_until_ms:
             return contract.Refusal.NO_WORKER
+        if self._report_age_ms(now_ms) > self._limits.report_valid_ms:
+            return contract.Refusal.OUTDATED_REPORT
         if self._foreign:
             return contract.Refusal.NO_WORKER
         if self._lease_limit_ms(self._attempts.values()) < _MIN_LEASE_LIMIT_MS:
@@ -416,11 +430,15 @@
             return contract.Refusal.EVACUATED
         return None
 
-    def _report_age_ms(self):
-        """Return the age of the worker's report; -1 if it comes from the store."""
-        if self._reported_ms is None:
-            return -1
-        return self._clock.elapsed_ms() - self._reported_ms
+    def _report_age_ms(self, now_ms):
+        """Return the age of the worker's report; infinite if it isn't known.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        return self._report_age.age_ms(
+            self._clock.elapsed_ms(), self._lease.worker_clock_ms(now_ms)
+        )
 
     def _mismatch(self, begin):
         """Return the Refusal of an attempt that can't run here; None for others."""
@@ -461,7 +479,7 @@
         alive_ms = min(
             (attempt.owner_alive_ms for attempt in attempts), default=math.inf
         )
-        limit_ms = alive_ms + self._resubmit_ms - _RESUBMIT_MARGIN_MS
+        limit_ms = alive_ms + self._limits.resubmit_ms - _RESUBMIT_MARGIN_MS
         return limit_ms - self._clock.elapsed_ms()
 
     def _extend_lease(self, now_ms):
@@ -787,12 +805,11 @@
         self._drop_starts_if_renamed(self._incarnations.last, report.instance)
         self._incarnations.adopt(report.instance)
         self._lease = worker_lease.new_worker_lease(
-            self._lease_ms, self._clock.now_ms()
+            self._limits.lease_ms, self._clock.now_ms()
         )
         self._cursor = 0
         self._clean = False
         self._responsive = False
-        self._reported_ms = None
         self._unconfirmed_until_ms = self._clock.now_ms() + _UNCONFIRMED_LIMIT_MS
         self._raise_token(self._token + 1)
         self._instance_known.set()
--- a/packages/dispatch/src/jujubeglade/direct/worker.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker.py
@@ -39,6 +39,7 @@
       labels: A tuple of strings.
       total: A Resources, all that its tasks can use at a time.
       draining: A boolean, whether it is about to leave.
+      clock_ms: A number, the worker's clock at the report; 0 if it doesn't tell.
     """
 
     instance: Instance
@@ -47,6 +48,7 @@
     labels: tuple
     total: job.Resources
     draining: bool
+    clock_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/dispatch/src/jujubeglade/direct/worker_lease.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker_lease.py
@@ -74,6 +74,16 @@
         """Return when the worker last answered a poll; first, when it was adopted."""
         return self._answered_ms
 
+    def worker_clock_ms(self, now_ms):
+        """Return the worker's clock now; None if it has not told it yet.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        if self._clock_ms is None:
+            return None
+        return self._clock_ms + now_ms - self._clock_read_ms
+
     def ages_ms(self, now_ms):
         """Return the ages of the last answer and of the last extension.
 
@@ -138,7 +148,7 @@
             return None
         self._extended_ms = now_ms
         self._expires_ms = max(self._expires_ms, now_ms + _longest_ms(lease_ms))
-        until_ms = int(self._clock_ms + now_ms - self._clock_read_ms + lease_ms)
+        until_ms = int(self.worker_clock_ms(now_ms) + lease_ms)
         extension = Extension(until_ms, token)
         self._open.append(extension)
         return extension
