Give up tasks under which workers crash, by what all entries learn of crashes

Cause: nothing bounded attempts whose worker went away (H1), no count outlived its owner (H2), and a crash could not be told from silence (H3). Class: retrying without a bound work whose failure takes its executor along. Evidence: 'worker crashed' lines, one task in 10 of them; nine scenarios. Now: an agent tells all its entries what its worker ran when another incarnation proves its crash, keeps the last eight crashes in the store's copy, and repeats them on new links. An entry counts them by task, whoever owned it, and answers the job as failed. What it only shared the worker with is protected: a crash is charged to attempts that had not survived 100 ms; these start on probation, one at a time on each worker, so that the next crash points at one. Two charges, one of them alone, or three, or four crashes however charged, or four attempts lost without proof, end it. A suspect that is lost on probation waits for the proof. Ruled out: counting lapsed attempts as crashes (a worker that is only silent would have its work given up; scenario); two crashes alone (11 innocent tasks share each crash); an empty worker for each suspect (some 10 a crash, as many workers); a key for each crash in the store.

--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -214,6 +214,8 @@
         self._retire_owners()
         _log.info("entry reached", entry=link.remote.name, incarnation=incarnation)
         owner.send(self._runner.roster(owner))
+        if self._runner.crashes:
+            owner.send(contract.Crashes(self._runner.crashes))
         self._announcer.send_room(owner)
         await link.run()
         _log.warning("entry lost", entry=link.remote.name, incarnation=incarnation)
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -80,6 +80,16 @@
         if owner.link.is_open:
             owner.send_room(self._describe())
 
+    def send_to_all(self, body):
+        """Send a message to all owners that can be reached.
+
+        Args:
+          body: A message of `contract`.
+        """
+        for owner in self._owners.values():
+            if owner.link.is_open:
+                owner.send(body)
+
     def _send_within(self, interval_ms):
         due_ms = self._clock.now_ms() + interval_ms
         if self._timer is not None:
--- a/packages/dispatch/src/jujubeglade/direct/attempt.py
+++ b/packages/dispatch/src/jujubeglade/direct/attempt.py
@@ -22,6 +22,7 @@
         "confirmed_ms",
         "end_by_ms",
         "halted_ms",
+        "has_survived",
         "_alive_ms",
         "is_listed",
         "owner",
@@ -56,6 +57,8 @@
         self._alive_ms = None
         #: The number of stops that the worker was sent for it.
         self.stop_calls = 0
+        #: Whether the worker still ran it at the end of its probation; see `crashes`.
+        self.has_survived = False
         #: The age of the worker's report when it was admitted.
         self.report_age_ms = 0.0
         #: For how long the owner had been silent when it sent this attempt.
@@ -69,6 +72,11 @@
         """Return whether it is to be stopped."""
         return self.halted_ms is not None
 
+    @property
+    def is_on_probation(self):
+        """Return whether it is a suspect that has not survived its probation."""
+        return self.begin.is_suspect and not self.has_survived
+
     @property
     def owner_alive_ms(self):
         """Return when its owner, still waiting for it, was last known to be alive.
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -9,6 +9,7 @@
 | agent | Room    | what the worker can run; also the agent's heartbeat      |
 | agent | Refused | an attempt has not started and never will                |
 | agent | Ended   | an attempt has ended                                     |
+| agent | Crashes | what its worker ran when it crashed                      |
 | entry | Beat    | the owner's heartbeat, with how soon it needs room       |
 | entry | Begin   | start an attempt                                         |
 | entry | Halt    | stop an attempt                                          |
@@ -44,6 +45,7 @@
     LOST = "lost"
     OWNER_UNHEARD = "owner_unheard"
     OUTDATED_REPORT = "outdated_report"
+    PROBATION = "probation"
 
 
 class End(enum.StrEnum):
@@ -56,6 +58,10 @@
     LOST = "lost"
 
 
+#: The ends of attempts whose worker or agent went away.
+LOSSES = (End.LAPSED, End.LOST)
+
+
 @message.register(86)
 class Beat:
     """An owner's heartbeat.
@@ -96,6 +102,7 @@
       number: An integer, counting the Begins of this link.
       left_ms: A number, the time in ms after which the attempt is too late.
       echo_ms: A number, the `sent_ms` of the last Room received on this link.
+      is_suspect: A boolean, whether the task may have crashed a worker before.
     """
 
     task: job.TaskName
@@ -107,6 +114,7 @@
     number: int
     left_ms: float
     echo_ms: float
+    is_suspect: bool
 
 
 @message.register(88)
@@ -141,6 +149,8 @@
       members: An integer, the revision of the agent's Members.
       sent_ms: A number, when it was sent, on the agent's clock that also counts while
         its VM is suspended. The owner echoes it, which proves that it was alive then.
+      on_probation: A boolean, whether a suspect has just started, so that no other
+        one may start.
     """
 
     service: str
@@ -154,6 +164,7 @@
     evacuations: int
     members: int
     sent_ms: float
+    on_probation: bool
 
 
 @message.register(90)
@@ -182,6 +193,8 @@
       ran_ms: A number, the time from start to end as measured by the agent.
       keeps_room: A boolean, whether the owner may use the room again at once; false
         when another owner has been notified of it first.
+      is_suspect: A boolean, whether the worker stopped answering before the attempt had
+        survived its probation; see `crashes`.
     """
 
     task: job.TaskName
@@ -189,6 +202,7 @@
     how: str
     ran_ms: float
     keeps_room: bool
+    is_suspect: bool
 
 
 @message.register(92)
@@ -207,6 +221,34 @@
     ended: tuple
 
 
+@message.register(97)
+class Crash:
+    """The crash of a worker, which another incarnation has proved.
+
+    Attributes:
+      name: A string, unique among the crashes of all workers.
+      tasks: A tuple of TaskNames, what it ran.
+      young: A tuple of TaskNames, those of them that had not survived their probation.
+      on_probation: A tuple of TaskNames, those of `young` that were suspects.
+    """
+
+    name: str
+    tasks: tuple
+    young: tuple
+    on_probation: tuple
+
+
+@message.register(98)
+class Crashes:
+    """Crashes of the worker of an agent; an owner may know them already.
+
+    Attributes:
+      crashes: A tuple of Crashes.
+    """
+
+    crashes: tuple
+
+
 @message.register(93)
 class Members:
     """The entries that are registered in the store.
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -18,6 +18,7 @@
     policy,
     scheduler,
     subset,
+    suspicion,
 )
 from jujubeglade.direct import (
     job as job_,
@@ -27,12 +28,14 @@
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
 _NO_SUCH_WORKER = "no such worker serves this entry"
+#: A task is given up when this many of its attempts have ended with their worker or
+#: agent, also if it was not shown that the worker crashed.
+_MAX_LOSSES = 4
+#: How long a suspect waits to learn whether its worker has crashed.
+_VERDICT_TIMEOUT_MS = 4000
 #: The job class that labels the latency metric.
 _CLASS = "direct"
 
-#: The ends of attempts whose worker or agent went away.
-_LOSSES = (contract.End.LAPSED, contract.End.LOST)
-
 _log = log.get(__name__)
 
 
@@ -49,6 +52,7 @@
         "_stopping_tasks",
         "_metrics",
         "_scheduler",
+        "_suspicions",
         "_heartbeats",
     )
 
@@ -73,6 +77,7 @@
             clock, self._fleet, cluster_state, self._scheduler
         )
         self._jobs = {}
+        self._suspicions = suspicion.new_suspicions()
         # Tasks of answered jobs whose attempts have not ended yet, by TaskName.
         self._stopping_tasks = {}
         self._admit = policy.find("admission", "in_time")
@@ -122,6 +127,7 @@
         if job is None:
             self._scheduler.run_if_scheduled()
             job = owned_job.OwnedJob(submission, route, self._clock.now_ms())
+            self._mark_suspects(job)
             refused = self._refusal(job)
             if refused is not None:
                 return refused
@@ -208,6 +214,8 @@
             self._handle_ended(worker, body)
         elif isinstance(body, contract.Roster):
             self._handle_roster(worker, body)
+        elif isinstance(body, contract.Crashes):
+            self._handle_crashes(body)
         else:
             self._cluster_state.offer(body, link.remote.name)
 
@@ -236,6 +244,11 @@
 
     def _refusal(self, job):
         """Return the Outcome of a job that is not accepted; None for one that is."""
+        hopeless = self._hopeless_task(job)
+        if hopeless is not None:
+            reason = _crash_reason(hopeless)
+            self._log_answer(job, job_.State.FAILED, reason)
+            return job_.Outcome(job_.State.FAILED, reason)
         submission = job.submission
         for step in submission.steps:
             if not self._fleet.could_ever_run(job.route.service, step.needs):
@@ -369,8 +382,56 @@
             worker.health.note_failed(self._clock.now_ms())
             task.failures += 1
             task.failed_on.add(worker.identity.incarnation)
+        if ended.is_suspect:
+            self._suspect(task, worker, ended.how)
         self._retry(task, ended.how)
 
+    def _handle_crashes(self, body):
+        """Give up the jobs of tasks under which too many workers have crashed."""
+        for crash in body.crashes:
+            if not self._suspicions.note(crash):
+                continue
+            for job_id in {task.job_id for task in crash.tasks}:
+                job = self._jobs.get(job_id)
+                if job is not None:
+                    self._mark_suspects(job)
+                    self._give_up_if_hopeless(job)
+
+    def _mark_suspects(self, job):
+        """Mark the tasks of a job that may have crashed a worker."""
+        for step in job.tasks:
+            for task in step:
+                task.is_suspect |= self._suspicions.is_suspect(task.name)
+
+    def _hopeless_task(self, job):
+        """Return a task of a job that is given up because of crashes, or None."""
+        for step in job.tasks:
+            for task in step:
+                if task.losses >= _MAX_LOSSES:
+                    return task
+                record = self._suspicions.find(task.name)
+                if record is not None and record.is_hopeless:
+                    return task
+        return None
+
+    def _give_up_if_hopeless(self, job):
+        """Answer a job as failed if one of its tasks is given up; return whether."""
+        task = self._hopeless_task(job)
+        if task is None:
+            return False
+        self._answer(job, job_.State.FAILED, _crash_reason(task))
+        return True
+
+    def _suspect(self, task, worker, how):
+        """Suspect a task whose worker went away before it survived its probation.
+
+        A worker whose lease has expired has crashed, or was only silent.
+        """
+        if task.is_suspect and how == contract.End.LAPSED:
+            until_ms = self._clock.now_ms() + _VERDICT_TIMEOUT_MS
+            task.verdict = owned_job.Verdict(worker, until_ms)
+        task.is_suspect = True
+
     def _handle_roster(self, worker, roster):
         """Process what happened to attempts while the link was down."""
         listed = set(roster.attempts)
@@ -433,8 +494,10 @@
         job = task.job
         if job.answer.done():
             return
-        if how in _LOSSES:
+        if how in contract.LOSSES:
             task.losses += 1
+            if self._give_up_if_hopeless(job):
+                return
         if task.failures >= job.route.max_attempts:
             self._answer(job, job_.State.FAILED, f"task {task.name} failed")
             return
@@ -460,12 +523,15 @@
     def may_send(self, task):
         """Return whether a task may be sent to a worker now.
 
-        When a client submits an answered job again, the attempts of the earlier
-        submission must end first.
+        A suspect whose worker went away may have crashed it again. When a client
+        submits an answered job again, the attempts of the earlier submission must end
+        first.
 
         Args:
           task: An OwnedTask.
         """
+        if task.verdict is not None and task.verdict.is_open(self._clock.now_ms()):
+            return False
         previous = self._stopping_tasks.get(task.name)
         if previous is None:
             return True
@@ -496,7 +562,7 @@
         job.may_have_started = True
         worker.assigned_tasks[task.name] = task
         left_ms = job.deadline_ms - now_ms
-        worker.begin(task.name, task.run, task.step, job.submission.spec, left_ms)
+        worker.begin(task, left_ms)
         self._metrics.count(metrics.Counter.STARTED)
         _log.info(
             "attempt sent",
@@ -523,6 +589,11 @@
     }
 
 
+def _crash_reason(task):
+    """Return why a job is given up, as a text for its client and the log."""
+    return f"workers crashed under task {task.name}"
+
+
 def _texts(attempts):
     """Write pairs of a TaskName and a run as one text for the log."""
     return " ".join(sorted(f"{name}/{run}" for name, run in attempts))
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -19,7 +19,7 @@
 #: Running agents connect to a restarted entry within this time.
 _REDIAL_MS = 1000
 _NO_ROOM = contract.Room(
-    "", (), job.NOTHING, job.NOTHING, job.NOTHING, False, 0, 0, 0, 0, 0.0
+    "", (), job.NOTHING, job.NOTHING, job.NOTHING, False, 0, 0, 0, 0, 0.0, False
 )
 
 
@@ -34,6 +34,7 @@
         "_room",
         "_seen_ms",
         "_unreported_needs",
+        "_unreported_suspect",
         "health",
         "assigned_tasks",
         "identity",
@@ -72,6 +73,8 @@
         # The needs of attempts that the agent's Room does not include yet, by the
         # number of their Begin.
         self._unreported_needs = {}
+        # The number of the last Begin of a suspect; 0 once the Room includes it.
+        self._unreported_suspect = 0
 
     @property
     def link(self):
@@ -107,6 +110,11 @@
         """Return whether attempts may be sent."""
         return self.lost_ms is None and self._room.accepting
 
+    @property
+    def accepts_suspects(self):
+        """Return whether a suspect may be sent; one at a time is on probation."""
+        return not self._room.on_probation and not self._unreported_suspect
+
     def is_quiet(self, now_ms):
         """Return whether the agent's heartbeats are overdue, so that it may be lost.
 
@@ -135,6 +143,7 @@
         self.views = peer_views.PeerViews()
         self._last_begin = 0
         self._unreported_needs.clear()
+        self._unreported_suspect = 0
         self._room = _NO_ROOM
         self._free = job.NOTHING
         self._seen_ms = 0.0
@@ -157,6 +166,8 @@
             begin for begin in self._unreported_needs if begin <= room.last_begin
         ]:
             del self._unreported_needs[number]
+        if room.last_begin >= self._unreported_suspect:
+            self._unreported_suspect = 0
         free = room.free
         for needs in self._unreported_needs.values():
             free = free.minus(needs)
@@ -172,30 +183,31 @@
         """
         self._free = self._free.plus(needs)
 
-    def begin(self, task, run, step, spec, left_ms):
+    def begin(self, task, left_ms):
         """Send an attempt.
 
         Args:
-          task: A TaskName.
-          run: An integer.
-          step: The task's Step.
-          spec: A string.
+          task: An OwnedTask.
           left_ms: A number, the time in ms after which the attempt is too late.
         """
+        step = task.step
         self._last_begin += 1
+        if task.is_suspect:
+            self._unreported_suspect = self._last_begin
         self._unreported_needs[self._last_begin] = step.needs
         self._free = self._free.minus(step.needs)
         self._link.send(
             contract.Begin(
-                task,
-                run,
+                task.name,
+                task.run,
                 self._room.service,
-                spec,
+                task.job.submission.spec,
                 step.needs,
                 step.label,
                 self._last_begin,
                 left_ms,
                 self._room.sent_ms,
+                task.is_suspect,
             )
         )
 
--- a/packages/dispatch/src/jujubeglade/direct/interrupted.py
+++ b/packages/dispatch/src/jujubeglade/direct/interrupted.py
@@ -17,12 +17,16 @@
     Attributes:
       task: A TaskName.
       run: An integer.
+      has_survived: A boolean, whether it had survived its probation; see `crashes`.
+      is_on_probation: A boolean, whether it was a suspect that had not.
       age_ms: A number, its age when the worker last answered a poll; 0 if it was sent
         since.
     """
 
     task: job.TaskName
     run: int
+    has_survived: bool
+    is_on_probation: bool
     age_ms: float
 
 
@@ -57,7 +61,13 @@
         """
         self._instance = instance
         age_ms = max(0, answered_ms - attempt.started_ms)
-        self._by_task[attempt.task] = Interrupted(attempt.task, attempt.run, age_ms)
+        self._by_task[attempt.task] = Interrupted(
+            attempt.task,
+            attempt.run,
+            attempt.has_survived,
+            attempt.is_on_probation,
+            age_ms,
+        )
 
     def clear(self):
         """Forget the attempts, as it is known how they ended."""
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import enum
 
 from jujubeglade.direct import job, queueing
@@ -15,6 +16,28 @@
     DONE = enum.auto()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a suspect waits for whose worker went away while it was on probation.
+
+    Attributes:
+      worker: A Worker. It has crashed, or was only silent; once it accepts attempts
+        again, this entry knows which.
+      until_ms: A number, when it is no longer waited for, on the monotonic clock.
+    """
+
+    worker: object
+    until_ms: float
+
+    def is_open(self, now_ms):
+        """Return whether it isn't known yet how the worker went away.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        return now_ms < self.until_ms and not self.worker.is_accepting
+
+
 class OwnedTask:
     """One task of an owned job."""
 
@@ -22,12 +45,14 @@
         "failed_on",
         "failures",
         "name",
+        "is_suspect",
         "job",
         "losses",
         "phase",
         "run",
         "sent_ms",
         "step",
+        "verdict",
         "worker",
     )
 
@@ -47,6 +72,10 @@
         self.failures = 0
         #: The number of its attempts that ended with their worker.
         self.losses = 0
+        #: Whether it may have crashed a worker, so that it starts on probation.
+        self.is_suspect = False
+        #: The Verdict that it waits for; None if it may be sent.
+        self.verdict = None
         #: The incarnations of the agents whose workers failed it.
         self.failed_on = set()
         self.sent_ms = 0.0
--- a/packages/dispatch/src/jujubeglade/direct/placement.py
+++ b/packages/dispatch/src/jujubeglade/direct/placement.py
@@ -24,6 +24,7 @@
       rack: A string, the preferred rack; empty for none.
       zone: A string, the availability zone of the entry.
       excluded: A frozenset of agents' incarnations that must not be chosen.
+      is_suspect: A boolean, whether the worker has to accept suspects; see `crashes`.
     """
 
     service: str
@@ -32,6 +33,7 @@
     rack: str
     zone: str
     excluded: frozenset = frozenset()
+    is_suspect: bool = False
 
 
 def request_of(task, fleet, zone):
@@ -60,6 +62,7 @@
         step.rack,
         zone,
         excluded,
+        task.is_suspect,
     )
 
 
@@ -86,6 +89,7 @@
         and not worker.health.is_paused(now_ms)
         and (not request.label or request.label in worker.room.labels)
         and worker.identity.incarnation not in request.excluded
+        and (not request.is_suspect or worker.accepts_suspects)
     ]
 
 
--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -9,7 +9,8 @@
 it is (`report_age`).
 
 The copy also has the agent's fencing token. The next incarnation of the agent chooses a
-higher one even if the wall clock has been set back meanwhile.
+higher one even if the wall clock has been set back meanwhile. It also has the last
+crashes of the worker, which the entries must still know after all have restarted.
 """
 
 import asyncio
@@ -40,6 +41,7 @@
       total: A Resources.
       token: An integer, the `token_floor` of the agent's Runner.
       clock_ms: A number, the worker's clock at the report; 0 if it isn't known.
+      crashes: A tuple of Crashes, the last ones of the worker.
     """
 
     name: str
@@ -49,6 +51,7 @@
     total: job.Resources
     token: int = 0
     clock_ms: float = 0
+    crashes: tuple = ()
 
     def report(self):
         """Return the Report, older than all of the worker; None without a worker."""
@@ -66,18 +69,20 @@
         )
 
 
-def pack(report, token):
+def pack(report, token, crashes=()):
     """Encode the copy of a report; without a worker if it is None or is draining.
 
     Args:
       report: A Report, or None.
       token: An integer, the `token_floor` of the agent's Runner.
+      crashes: A tuple of Crashes.
 
     Returns:
       Bytes.
     """
     if report is None or report.draining:
-        return message.encode(Copy("", 0, "", (), job.NOTHING, token))
+        nothing = Copy("", 0, "", (), job.NOTHING, token, crashes=crashes)
+        return message.encode(nothing)
     return message.encode(
         Copy(
             report.instance.name,
@@ -87,6 +92,7 @@
             report.total,
             token,
             report.clock_ms,
+            crashes,
         )
     )
 
@@ -135,7 +141,9 @@
         await self._read()
         while True:
             await asyncio.sleep(clock.seconds(_CHECK_INTERVAL_MS))
-            latest = pack(self._runner.report, self._runner.token_floor)
+            latest = pack(
+                self._runner.report, self._runner.token_floor, self._runner.crashes
+            )
             if latest != self._stored:
                 await self._write(latest)
 
@@ -152,6 +160,8 @@
         if copy is None:
             return
         self._runner.succeed_token(copy.token)
+        if copy.crashes:
+            self._runner.recall_crashes(copy.crashes)
         report = copy.report()
         if report is not None and self._runner.report is None:
             _log.info("worker recalled", worker=report.instance.name)
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -28,6 +28,7 @@
     background,
     capacity,
     contract,
+    crashes,
     foreign_attempts,
     held_begins,
     incarnations,
@@ -96,6 +97,7 @@
         "_capacity",
         "_clean",
         "_clock",
+        "_crashes",
         "_cursor",
         "_foreign",
         "_held",
@@ -149,6 +151,7 @@
         self._instance_known = asyncio.Event()
         self._incarnations = incarnations.Incarnations()
         self._interrupted = interrupted.new_interrupted_attempts()
+        self._crashes = crashes.new_recent_crashes()
         self._token = clock.wall_ms()
         self._token_floor = self._token
         self._report = None
@@ -236,8 +239,24 @@
             evacuations,
             members,
             self._clock.elapsed_ms(),
+            self._has_probation(),
         )
 
+    @property
+    def crashes(self):
+        """Return the last Crashes of the worker, as a tuple."""
+        return tuple(self._crashes)
+
+    def recall_crashes(self, recalled):
+        """Add the crashes that an earlier incarnation of this agent has seen.
+
+        Args:
+          recalled: An iterable of Crashes.
+        """
+        for crash in recalled:
+            self._crashes.add(crash)
+        self._announcer.send_to_all(contract.Crashes(self.crashes))
+
     def roster(self, owner):
         """List the attempts of an owner and how its earlier ones ended.
 
@@ -286,6 +305,8 @@
         refusal = self._refusal() or self._mismatch(begin)
         if refusal is None and owner.is_retiring:
             refusal = contract.Refusal.LEAVING
+        if refusal is None and begin.is_suspect and self._has_probation():
+            refusal = contract.Refusal.PROBATION
         if refusal is None and not self._capacity.reserve(begin.task, begin.needs):
             refusal = contract.Refusal.ROOM
         if refusal is not None:
@@ -430,6 +451,10 @@
             return contract.Refusal.EVACUATED
         return None
 
+    def _has_probation(self):
+        """Return whether a suspect has just started, so that no other one may."""
+        return any(attempt.is_on_probation for attempt in self._attempts.values())
+
     def _report_age_ms(self, now_ms):
         """Return the age of the worker's report; infinite if it isn't known.
 
@@ -581,7 +606,14 @@
         first = self._announcer.offer(attempt.owner)
         keeps_room = first is attempt.owner
         attempt.owner.send(
-            contract.Ended(attempt.task, attempt.run, str(how), ran_ms, keeps_room)
+            contract.Ended(
+                attempt.task,
+                attempt.run,
+                str(how),
+                ran_ms,
+                keeps_room,
+                how in contract.LOSSES and not attempt.has_survived,
+            )
         )
 
     def _release(self, attempt):
@@ -719,9 +751,18 @@
 
     def _handle_running(self, attempt):
         attempt.is_listed = True
+        age_ms = self._clock.now_ms() - attempt.started_ms
+        if not attempt.has_survived and age_ms >= crashes.PROBATION_MS:
+            self._end_probation(attempt)
         if attempt.phase is attempt_.Phase.UNRESOLVED:
             attempt.confirm(self._clock.now_ms())
 
+    def _end_probation(self, attempt):
+        was_on_probation = attempt.is_on_probation
+        attempt.has_survived = True
+        if was_on_probation:
+            self._announcer.on_state_change()
+
     def _handle_absent(self, attempt, sent_ms, token):
         """Handle an attempt that the worker does not list.
 
@@ -847,9 +888,14 @@
         self._interrupted.add(self._instance, attempt, self._lease.answered_ms)
 
     def _note_crash(self):
-        """Log which attempts ran in an incarnation that another one has replaced."""
+        """Tell the owners what ran in an incarnation that another one has replaced."""
         if self._interrupted.instance is None:
             return
+        crash = crashes.new_crash(
+            self._interrupted.instance, self._interrupted.attempts
+        )
+        self._crashes.add(crash)
+        self._announcer.send_to_all(contract.Crashes((crash,)))
         self._metrics.count(metrics.Counter.CRASHED)
         _log.warning(
             "worker crashed",
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -149,7 +149,12 @@
             if not self._dispatcher.may_send(task):
                 were_offered = False
                 waiting.append(task)
-            elif not self._send(task, workers, now_ms):
+            elif self._send(task, workers, now_ms):
+                continue
+            elif task.is_suspect:
+                # Others may have room where no further suspect may start.
+                waiting.append(task)
+            else:
                 # The remaining tasks are mostly alike and would find no room either.
                 waiting.extend(job.ready[number:])
                 break
