Model crashing tasks and shrinking rooms, and search both at random in the stand-ins

What callers saw: nothing new; no decision changes. Two specifications join the model: crashing (an owner, agents with and without proof of a crash, restarts of entries and agents, a client that submits again) and shrinking (reports that are lost, late or stored, suspension). Each mechanism is needed: eleven mutations break a property. crashing holds for three restarts within a run; with four (an owner and three agents, each between a crash and its proof) a task is started three times after three crashes, which stays open. 'some worker recorded two concurrent runs of a task or load above its capacity' is 'some worker recorded a violation' now: the witness also records a third start after three crashes, so the step demands as much as before of the older rules. Decisions of suspicion are tested without a network; a restart of all processes with the crashes in the store's copy on the platform's stand-ins.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -57,3 +57,23 @@
     When entry 0 gets a job of 1 tasks of 4 cores for 1000 ms, whose client waits 25000 ms
     And each worker that runs a task leaves and is replaced, three times
     Then job 0 is completed within 20000 ms
+
+  Scenario Outline: A task is given up by the crashes that are charged to it
+    Given the crashes "<crashes>"
+    Then task T is <verdict>
+
+    Examples: x+ has survived its probation, x! is on probation, x is neither
+      | crashes                            | verdict      |
+      | T a b                              | not given up |
+      | T a b+; T! c d+                    | given up     |
+      | T a b+; T! c! d+                   | not given up |
+      | T a; T b; T c                      | given up     |
+      | T a; T b! c; T d! e                | not given up |
+      | T+ a; T+ b; T+ c                   | not given up |
+      | T+ a+; T+ b+; T+ c+                | given up     |
+      | T+ a; T+ b; T+ c; T+ d             | given up     |
+
+  Scenario: A crash that several agents and links tell of counts once
+    Given the crashes "T a; T! b"
+    And the same crashes again
+    Then workers have crashed 2 times under task T
--- a/features/direct.feature
+++ b/features/direct.feature
@@ -79,7 +79,7 @@
     Given the rule "<rule>" is left out
     And a site of 2 entries and 3 workers of 16 cores
     When the situation that depends on "<rule>" occurs
-    Then some worker recorded two concurrent runs of a task or load above its capacity
+    Then some worker recorded a violation
 
     Examples:
       | rule                                                                          |
@@ -98,6 +98,8 @@
       | a start is refused when the lease outlives what its owner is alive for        |
       | the time that counts for a halted attempt stands still                        |
       | attempts start only by a recent report of the worker                          |
+      | tasks under which workers crash are given up                                  |
+      | all entries hear of a crash                                                   |
 
   Scenario Outline: Each rule prevents a violation in some situation while a rule that overlaps it is left out
     Given a site of 2 entries and 3 workers of 16 cores
@@ -107,7 +109,7 @@
     Given the rule "<rule>" is left out
     And a site of 2 entries and 3 workers of 16 cores
     When the situation that depends on "<rule>" occurs
-    Then some worker recorded two concurrent runs of a task or load above its capacity
+    Then some worker recorded a violation
 
     Examples:
       | rule                                            | overlapping rule                                           |
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -13,6 +13,7 @@
     owners,
     runner,
     stops,
+    suspicion,
     worker,
 )
 
@@ -240,3 +241,19 @@
         return 0.0
 
     return ((runner.Runner, "_report_age_ms", report_age_ms),)
+
+
+@_mutant("tasks under which workers crash are given up")
+def _count_no_crashes():
+    return (
+        (suspicion.TaskRecord, "is_hopeless", False),
+        (dispatcher, "_MAX_LOSSES", math.inf),
+    )
+
+
+@_mutant("all entries hear of a crash")
+def _tell_no_crash():
+    return (
+        (suspicion.Suspicions, "note", lambda self, crash: False),
+        (dispatcher, "_VERDICT_TIMEOUT_MS", 0),
+    )
--- a/features/direct_random_faults.feature
+++ b/features/direct_random_faults.feature
@@ -46,6 +46,19 @@
       | 6    |
       | 7    |
 
+  Scenario Outline: Crashing tasks and shrinking workers beside random faults break no rule
+    Given a field of 2 entries and 3 workers of 16 cores with seed <seed>
+    When random faults, crashing tasks and shrinking workers occur for 40 s
+    Then no worker recorded a violation
+    And at least 60 faults were played and 10 jobs were completed
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
   Scenario Outline: Rare faults make no task run twice
     Given a field of 2 entries and 3 workers of 16 cores with seed <seed>
     When random and rare faults occur for 40 s
--- a/features/direct_situations.py
+++ b/features/direct_situations.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+from jujubeglade.direct import job
 from jujubeglade.fakes import direct_site
 
 _situations = {}
@@ -283,3 +284,43 @@
         node.worker.resize(4000)
     await asyncio.sleep(4.5)
     await _submit(site, 0, 12)
+
+
+@situation("tasks under which workers crash are given up")
+async def crash_under_task(site):
+    """Submit a task that crashes each worker that starts it."""
+    _crash_under_first_task(site, 300)
+    await _submit_patiently(site, 0)
+    await asyncio.sleep(20)
+
+
+@situation("all entries hear of a crash")
+async def crash_under_two_owners(site):
+    """Kill the owner of such a task twice; its client submits it again elsewhere."""
+    _crash_under_first_task(site, 300)
+    submission = await _submit_patiently(site, 0)
+    for _ in range(2):
+        await asyncio.sleep(3.2)
+        zone = site.entries[0][0].zone
+        site.lose_entry(0)
+        site.add_entry(zone)
+        await asyncio.sleep(direct_site.RESUBMIT_DELAY_MS / 1000)
+        _, entry = site.entries[0]
+        asyncio.create_task(entry.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(10)
+
+
+def _crash_under_first_task(site, away_ms):
+    """Have the first task crash each worker that starts it, for some time."""
+    for node in site.nodes:
+        node.worker.crashing_tasks = frozenset({job.TaskName(f"{1:016x}", 0, 0)})
+        node.worker.crash_ms = away_ms
+
+
+async def _submit_patiently(site, entry):
+    """Submit a job of one task whose client waits for long, and return it."""
+    _, dispatcher = site.entries[entry]
+    submission = site.submission(1, 4000, 500, _PATIENT_CLIENT_MS)
+    asyncio.create_task(dispatcher.submit(submission, direct_site.ROUTE))
+    await asyncio.sleep(0.1)
+    return submission
--- a/features/model.feature
+++ b/features/model.feature
@@ -15,6 +15,8 @@
       | direct        |
       | resubmission  |
       | late_calls    |
+      | crashing      |
+      | shrinking     |
 
   Scenario Outline: The states of <specification> include all its witnesses
     When the model searches for the witnesses of "<specification>"
@@ -29,6 +31,8 @@
       | direct        |
       | resubmission  |
       | late_calls    |
+      | crashing      |
+      | shrinking     |
 
   Scenario Outline: <specification> can reach its goal from every state
     When the model checks the progress of "<specification>"
@@ -42,6 +46,8 @@
       | direct        |
       | resubmission  |
       | late_calls    |
+      | crashing      |
+      | shrinking     |
 
   Scenario: Permits are granted while the store is down for all entries
     When the model checks the progress of "drain" in an outage
@@ -130,6 +136,23 @@
       | late_calls | a call that becomes void did not extend the lease just before | what counts as lapsed has ended | 9 |
       | late_calls | the lease of an answered call counts from its sending | what counts as lapsed has ended | 9 |
 
+    Examples: Crashing
+      | specification | mutation | property | steps |
+      | crashing | crashes are not counted | a task is not started three times after three crashes | 17 |
+      | crashing | lost attempts are not counted | a task is not started three times after three crashes | 19 |
+      | crashing | only the owner hears of a crash | a task is not started three times after three crashes | 18 |
+      | crashing | crashes are not repeated on a new link | a task is not started three times after three crashes | 19 |
+      | crashing | a restarted agent forgets crashes | a task is not started three times after three crashes | 19 |
+      | crashing | a lost attempt counts as a crash | a task whose workers were only silent is not given up | 7 |
+
+    Examples: Shrinking
+      | specification | mutation | property | steps |
+      | shrinking | a report of any age is relied on | no start exceeds room that shrank long ago | 6 |
+      | shrinking | a report does not age while the agent is suspended | no start exceeds room that shrank long ago | 8 |
+      | shrinking | a report is as old as its arrival | no start exceeds room that shrank long ago | 8 |
+      | shrinking | the copy in the store has no date | no start exceeds room that shrank long ago | 7 |
+      | shrinking | what is being stopped does not count | no start exceeds room that shrank long ago | 4 |
+
   Scenario Outline: Every property of <specification> holds with the relaxation: <relaxation>
     When the model checks "<specification>" where "<relaxation>"
     Then the model is exhaustive and every property holds
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -231,6 +231,16 @@
     And 2500 ms pass
     Then no agent accepts work from entry 0
 
+  Scenario: The crashes in a copy of a worker count after a restart of all processes
+    Given a platform site of 1 entries and 1 workers
+    When the copy of agent 0's worker tells of two crashes under the next job
+    And entry 0 restarts
+    And agent 0 restarts
+    And 700 ms pass
+    And a client submits 1 tasks of 4 cores for 50 ms to entry 0
+    Then the client gets 200 failed
+    And no task started on worker 0
+
   Scenario: A draining worker is not recalled
     Given a platform site of 1 entries and 1 workers
     When the store has a copy of every worker
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from jujubeglade.direct import job, report_cache, worker
+from jujubeglade.direct import contract, job, report_cache, suspicion, worker
 from jujubeglade.fakes import direct_site
 
 _POLL_S = 0.02
@@ -94,6 +94,36 @@
     context.runner.run(_delay_report(node, cores, ms))
 
 
+@given('the crashes "{texts}"')
+def step_crashes_heard(context, texts):
+    context.crashes = [
+        _crash(f"crash-{number}", text.split())
+        for number, text in enumerate(texts.split(";"))
+    ]
+    context.suspicions = suspicion.new_suspicions()
+    _hear(context)
+
+
+@given("the same crashes again")
+def step_crashes_again(context):
+    _hear(context)
+
+
+@then("task T is given up")
+def step_hopeless(context):
+    assert context.suspicions.find(_named("T")).is_hopeless
+
+
+@then("task T is not given up")
+def step_not_hopeless(context):
+    assert not context.suspicions.find(_named("T")).is_hopeless
+
+
+@then("workers have crashed {count:d} times under task T")
+def step_crash_count(context, count):
+    assert context.suspicions.find(_named("T")).crashes == count
+
+
 @then("task {index:d} of job {number:d} has crashed at most {most:d} workers")
 def step_crashes(context, index, number, most):
     crashes = context.site.witness.crashes[_task(index, number)]
@@ -107,6 +137,25 @@
         assert outcome.state is job.State.COMPLETED, (number, outcome)
 
 
+def _hear(context):
+    for crash in context.crashes:
+        context.suspicions.note(crash)
+
+
+def _crash(name, tasks):
+    """Make a Crash; see the examples of the feature for how its tasks are written."""
+    return contract.Crash(
+        name,
+        tuple(_named(task) for task in tasks),
+        tuple(_named(task) for task in tasks if not task.endswith("+")),
+        tuple(_named(task) for task in tasks if task.endswith("!")),
+    )
+
+
+def _named(text):
+    return job.TaskName(text.rstrip("+!"), 0, 0)
+
+
 def _task(index, number):
     """Return the name of a task; a site counts its jobs from 1."""
     return job.TaskName(f"{number + 1:016x}", 0, index)
--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -9,6 +9,7 @@
     direct_field,
     direct_random_faults,
     direct_rare_faults,
+    direct_worker_faults,
     virtual_process,
 )
 
@@ -42,6 +43,18 @@
     )
 
 
+@when("random faults, crashing tasks and shrinking workers occur for {seconds:d} s")
+def step_worker_faults(context, seconds):
+    context.played = context.runner.run(
+        direct_random_faults.random_faults(
+            context.site,
+            context.seed,
+            seconds,
+            direct_worker_faults.new_worker_faults,
+        )
+    )
+
+
 @then("at least {faults:d} faults were played and {jobs:d} jobs were completed")
 def step_played(context, faults, jobs):
     assert len(context.played.faults) >= faults, len(context.played.faults)
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -173,7 +173,7 @@
     assert not any(node.worker.running for node in context.site.nodes)
 
 
-@then("some worker recorded two concurrent runs of a task or load above its capacity")
+@then("some worker recorded a violation")
 def step_violations(context):
     assert context.site.witness.violations
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 
 from jujubeglade.core import link, log
-from jujubeglade.direct import job, report_cache, worker
+from jujubeglade.direct import contract, job, report_cache, worker
 from jujubeglade.fakes import platform_site
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -216,6 +216,16 @@
     _put_copy(context, index, report_cache.pack(report, 0))
 
 
+@when("the copy of agent {index:d}'s worker tells of two crashes under the next job")
+def step_copied_crashes(context, index):
+    task = job.TaskName(f"{context.ids + 1:016x}", 0, 0)
+    crashes = (
+        contract.Crash("w-0/1", (task,), (task,), ()),
+        contract.Crash("w-0/2", (task,), (task,), (task,)),
+    )
+    _put_copy(context, index, report_cache.pack(None, 0, crashes))
+
+
 @when("agent {index:d} restarts after its clock was set back by {seconds:d} s")
 def step_set_back(context, index, seconds):
     former = context.site.agents[index]
--- a/packages/bench/src/jujubeglade/fakes/direct_field.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_field.py
@@ -199,6 +199,11 @@
             for view in views:
                 process.receive(program.offer, view)
 
+    @property
+    def job_count(self):
+        """Return the number of submissions that were built."""
+        return self._job_count
+
     def submission(self, count, cpu, run_ms, timeout_ms=_CLIENT_TIMEOUT_MS):
         """Build a submission of equal tasks.
 
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -142,12 +142,15 @@
         self._find_entry = find_entry
 
     def read_copy(self, former):
-        """Read what an earlier incarnation has left in the store: its fencing token.
+        """Read what an earlier incarnation has left in the store.
+
+        These are its fencing token and the crashes of its worker.
 
         Args:
           former: A SimulatedAgent.
         """
         self._runner.succeed_token(former._runner.token_floor)
+        self._runner.recall_crashes(former._runner.crashes)
 
     @property
     def identity(self):
--- a/packages/bench/src/jujubeglade/model/registry.py
+++ b/packages/bench/src/jujubeglade/model/registry.py
@@ -8,15 +8,27 @@
 
 from jujubeglade.model import (
     commands,
+    crashing,
     direct,
     drain,
     late_calls,
     leave,
     ownership,
     resubmission,
+    shrinking,
 )
 
-_MODULES = (ownership, drain, commands, leave, direct, resubmission, late_calls)
+_MODULES = (
+    ownership,
+    drain,
+    commands,
+    leave,
+    direct,
+    resubmission,
+    late_calls,
+    crashing,
+    shrinking,
+)
 
 
 def specifications():
