Answer connections that a closing server has not accepted yet

Cause: the system resets connections that clients have opened and that the event loop has not accepted when the listening socket is closed. Before: the new scenario fails each time (5 connections opened just before the close); after: each gets its answer. The listeners are closed only once their queue is empty. Ruled out: waiting before the close; connections keep arriving.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -89,3 +89,7 @@
     Given an HTTP server with a timeout of 200 ms for the first request
     When a connection to the HTTP server sends "GET /health HTTP/1.1" and no more
     Then the HTTP server closes it without an answer
+
+  Scenario: A server that closes answers the connections that it has not accepted yet
+    When 5 clients connect and send a request to a server just before it closes
+    Then each of these clients got status 404
--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -4,6 +4,7 @@
 import io
 import json
 import re
+import socket
 import tempfile
 
 import aiohttp
@@ -215,6 +216,75 @@
     assert fields == expected_fields, context.answer
 
 
+async def close_under_connects(count):
+    server = http_server.Server(web.Application(), lambda: count)
+    await server.start("127.0.0.1", 0)
+    address = ("127.0.0.1", server.port)
+    clients = [socket.create_connection(address) for _ in range(count)]
+    for client in clients:
+        client.sendall(b"GET /none HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    # The event loop has not run since the clients connected.
+    await server.close()
+    return [first_line(client) for client in clients]
+
+
+def first_line(client):
+    with client:
+        try:
+            return client.recv(4096).partition(b"\r\n")[0].decode()
+        except OSError as error:
+            return repr(error)
+
+
+@when("{count:d} clients connect and send a request to a server just before it closes")
+def step_close_under_connects(context, count):
+    with asyncio.Runner() as runner:
+        context.lines = runner.run(close_under_connects(count))
+
+
+@then("each of these clients got status {status:d}")
+def step_lines(context, status):
+    assert all(f" {status} " in line for line in context.lines), context.lines
+
+
+async def leave_under_requests(context, count):
+    leaving_entry = context.site.entries.pop()
+    url = f"http://127.0.0.1:{leaving_entry.http_port}/v1/jobs"
+    clients = [asyncio.create_task(post_forever(url)) for _ in range(count)]
+    await asyncio.sleep(_POLL_S)
+    await leaving_entry.stop()
+    return await asyncio.gather(*clients)
+
+
+async def post_forever(url):
+    """Post until the entry can't be connected to.
+
+    Returns:
+      A string: how the first request ended that was broken off; empty if none was.
+    """
+    async with aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.post(url, json={}) as answer:
+                    await answer.read()
+            except aiohttp.ClientConnectorError:
+                return ""
+            except (aiohttp.ClientError, OSError) as error:
+                return repr(error)
+
+
+@when(
+    "the entry leaves while {count:d} clients post on connections that they keep open"
+)
+def step_leave(context, count):
+    context.broken = run(context, leave_under_requests(context, count))
+
+
+@then("each request was answered, or its client could not connect")
+def step_none_broken(context):
+    assert not any(context.broken), context.broken
+
+
 @then("the submitted id is the same as before")
 def step_same_submitted_id(context):
     assert context.answer["lines"][1] == f"id {context.ids['submitted']}"
--- a/packages/dispatch/src/jujubeglade/entry/http_server.py
+++ b/packages/dispatch/src/jujubeglade/entry/http_server.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 
 from aiohttp import web
@@ -93,10 +94,29 @@
         The requests of connections that were just accepted get a short time to be
         answered.
         """
-        self._server.close()
+        loop = asyncio.get_running_loop()
+        for connection in self._stop_listening():
+            await loop.connect_accepted_socket(self._accept, connection)
         await asyncio.sleep(clock.seconds(_CLOSE_DELAY_MS))
         await self._runner.cleanup()
 
+    def _stop_listening(self):
+        """Close the listening sockets.
+
+        Returns:
+          A list of sockets: connections that clients had opened and that the event loop
+          had not accepted yet. The system would reset them.
+        """
+        listeners = [listening.dup() for listening in self._server.sockets]
+        # They go on listening until their last copy is closed.
+        self._server.close()
+        connections = []
+        for listener in listeners:
+            with listener, contextlib.suppress(BlockingIOError):
+                while True:
+                    connections.append(listener.accept()[0])
+        return connections
+
     def _accept(self):
         if len(self._runner.server.connections) >= self._max_connections():
             return _RefusedConnection()
