Close kept-open connections with the last answer of an entry that leaves

What callers saw: a client that posts again and again on a connection that it keeps open could have a request broken off while the entry shut down; and the entry's stop could last until its limit, as the requests never paused. Cause: an entry that leaves refused requests but kept the connection, so that the client's next request could be on its way when the connections were closed. The answers of a leaving entry now ask the client to close.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -90,6 +90,11 @@
     When a connection to the HTTP server sends "GET /health HTTP/1.1" and no more
     Then the HTTP server closes it without an answer
 
+  Scenario: An entry that leaves breaks off no request on a connection that its client keeps open
+    Given a site of 1 entry and 2 workers
+    When the entry leaves while 20 clients post on connections that they keep open
+    Then each request was answered, or its client could not connect
+
   Scenario: A server that closes answers the connections that it has not accepted yet
     When 5 clients connect and send a request to a server just before it closes
     Then each of these clients got status 404
--- a/packages/dispatch/src/jujubeglade/entry/http_server.py
+++ b/packages/dispatch/src/jujubeglade/entry/http_server.py
@@ -201,18 +201,26 @@
         async def serve(request, handler):
             if not request.path.startswith("/v1/"):
                 return await handler(request)
-            by_operator = request.path in _OPERATOR_PATHS
-            refusal = self._refusal(by_operator)
-            if refusal is not None:
-                return self._refusals.refuse(refusal)
-            self._in_progress[by_operator] += 1
-            try:
-                return await self._serve(request, handler)
-            finally:
-                self._in_progress[by_operator] -= 1
+            response = await self._serve_or_refuse(request, handler)
+            if self.leaving:
+                # The client's next request goes to another entry, and is not on its
+                # way here when the connections are closed.
+                response.force_close()
+            return response
 
         return serve
 
+    async def _serve_or_refuse(self, request, handler):
+        by_operator = request.path in _OPERATOR_PATHS
+        refusal = self._refusal(by_operator)
+        if refusal is not None:
+            return self._refusals.refuse(refusal)
+        self._in_progress[by_operator] += 1
+        try:
+            return await self._serve(request, handler)
+        finally:
+            self._in_progress[by_operator] -= 1
+
     async def _serve(self, request, handler):
         """Serve a request; convert an exception to a refusal."""
         try:
