End a job whose attempts are lost without a proven crash as unfinished, not as failed

Cause: the bound on attempts lost without proof answered the job as failed, and counted attempts that had run for seconds. Ruled out: no bound at all (agents that restart after each crash lose the proofs; scenario).

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -52,6 +52,18 @@
     And each worker that runs a task falls silent for 4000 ms, three times
     Then job 0 is completed within 20000 ms
 
+  Scenario: A task whose workers fall silent again and again while it runs is completed
+    Given a site of 1 entries and 3 workers of 16 cores
+    When entry 0 gets a job of 1 tasks of 4 cores for 1000 ms, whose client waits 60000 ms
+    And each worker that runs a task falls silent for 4000 ms, six times
+    Then job 0 is completed within 50000 ms
+
+  Scenario: A task that is lost with silent workers just after its starts is not shown as failed
+    Given a site of 1 entries and 6 workers of 16 cores
+    When entry 0 gets a job of 1 tasks of 4 cores for 1000 ms, whose client waits 60000 ms
+    And each worker that starts a task falls silent for 8000 ms, six times
+    Then job 0 is unfinished within 50000 ms
+
   Scenario: A task is not given up because its workers left
     Given a site of 1 entries and 4 workers of 16 cores
     When entry 0 gets a job of 1 tasks of 4 cores for 1000 ms, whose client waits 25000 ms
--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -247,7 +247,7 @@
 def _count_no_crashes():
     return (
         (suspicion.TaskRecord, "is_hopeless", False),
-        (dispatcher, "_MAX_LOSSES", math.inf),
+        (dispatcher, "_MAX_UNPROVEN_CRASHES", math.inf),
     )
 
 
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -1,6 +1,7 @@
 """Steps for tasks that crash their workers, and for workers that shrink."""
 
 import asyncio
+import functools
 
 from behave import given, then, when
 
@@ -8,6 +9,9 @@
 from jujubeglade.fakes import direct_site
 
 _POLL_S = 0.02
+#: How long a task has run when its worker falls silent or leaves.
+_RUNNING_S = 0.5
+_TIMES = {"three": 3, "six": 6}
 #: Longer than a report is relied on.
 _AGENT_DOWN_S = 4.5
 #: Above those of all reports of a scenario.
@@ -56,14 +60,21 @@
     context.runner.run(_restart_agents(context.site, ms))
 
 
-@when("each worker that runs a task falls silent for {ms:d} ms, three times")
-def step_fall_silent(context, ms):
-    context.runner.run(_for_each_start(context.site, 3, _fall_silent, ms))
+@when("each worker that runs a task falls silent for {ms:d} ms, {times:w} times")
+def step_fall_silent(context, ms, times):
+    fault = functools.partial(_fall_silent, ms=ms)
+    context.runner.run(_for_each_start(context, _TIMES[times], fault, _RUNNING_S))
+
+
+@when("each worker that starts a task falls silent for {ms:d} ms, {times:w} times")
+def step_fall_silent_at_once(context, ms, times):
+    fault = functools.partial(_fall_silent, ms=ms)
+    context.runner.run(_for_each_start(context, _TIMES[times], fault, 0))
 
 
 @when("each worker that runs a task leaves and is replaced, three times")
 def step_leave(context):
-    context.runner.run(_for_each_start(context.site, 3, _leave, 500))
+    context.runner.run(_for_each_start(context, 3, _leave, _RUNNING_S))
 
 
 @when("worker {index:d} grows to {cores:d} cores")
@@ -226,15 +237,19 @@
                 await site.restart_node(index)
 
 
-async def _for_each_start(site, times, fault, ms):
-    """Play a fault on the worker that runs a task, once it has run for a moment."""
+async def _for_each_start(context, times, fault, delay_s):
+    """Play a fault on each worker that runs a task, once it has run for some time."""
+    workers = [node.worker for node in context.site.nodes]
+    _, answer = context.jobs[0]
     for _ in range(times):
-        while not any(node.worker.running for node in site.nodes):
+        while not any(worker.running for worker in workers):
+            if answer.done():
+                return
             await asyncio.sleep(_POLL_S)
-        await asyncio.sleep(0.2)
-        node = next(node for node in site.nodes if node.worker.running)
-        asyncio.get_running_loop().create_task(fault(node.worker, ms))
-        while node.worker.running:
+        await asyncio.sleep(delay_s)
+        busy = next(worker for worker in workers if worker.running)
+        asyncio.get_running_loop().create_task(fault(busy))
+        while busy.running:
             await asyncio.sleep(_POLL_S)
 
 
@@ -244,14 +259,14 @@
     simulated.silent = False
 
 
-async def _leave(simulated, ms):
+async def _leave(simulated):
     """Drain, leave while a task runs, and be back as another incarnation."""
     simulated.draining = True
     simulated.report()
     await asyncio.sleep(0.1)
     simulated.leave()
     simulated.silent = True
-    await asyncio.sleep(ms / 1000)
+    await asyncio.sleep(0.5)
     simulated.draining = False
     simulated.silent = False
     simulated.report()
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -28,9 +28,11 @@
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
 _NO_SUCH_WORKER = "no such worker serves this entry"
-#: A task is given up when this many of its attempts have ended with their worker or
-#: agent, also if it was not shown that the worker crashed.
-_MAX_LOSSES = 4
+#: A task is not sent again when this many of its attempts have ended with their worker
+#: or agent just after the start, also if it was not shown that the worker crashed.
+_MAX_UNPROVEN_CRASHES = 4
+#: An attempt whose agent was lost within this time had just started.
+_JUST_STARTED_MS = 300
 #: How long a suspect waits to learn whether its worker has crashed.
 _VERDICT_TIMEOUT_MS = 4000
 #: The job class that labels the latency metric.
@@ -238,6 +240,8 @@
             )
             for task in list(worker.assigned_tasks.values()):
                 self._release(worker, task)
+                if worker.lost_ms - task.sent_ms < _JUST_STARTED_MS:
+                    self._suspect(task)
                 self._retry(task, contract.End.LOST)
             self._fleet.remove(worker)
         self._scheduler.refresh_all()
@@ -383,7 +387,8 @@
             task.failures += 1
             task.failed_on.add(worker.identity.incarnation)
         if ended.is_suspect:
-            self._suspect(task, worker, ended.how)
+            self._await_verdict(task, worker, ended.how)
+            self._suspect(task)
         self._retry(task, ended.how)
 
     def _handle_crashes(self, body):
@@ -407,8 +412,6 @@
         """Return a task of a job that is given up because of crashes, or None."""
         for step in job.tasks:
             for task in step:
-                if task.losses >= _MAX_LOSSES:
-                    return task
                 record = self._suspicions.find(task.name)
                 if record is not None and record.is_hopeless:
                     return task
@@ -422,15 +425,19 @@
         self._answer(job, job_.State.FAILED, _crash_reason(task))
         return True
 
-    def _suspect(self, task, worker, how):
-        """Suspect a task whose worker went away before it survived its probation.
+    def _suspect(self, task):
+        """Suspect a task whose worker went away before it survived its probation."""
+        task.unproven_crashes += 1
+        task.is_suspect = True
+
+    def _await_verdict(self, task, worker, how):
+        """Hold a suspect back until it is known whether its worker has crashed.
 
         A worker whose lease has expired has crashed, or was only silent.
         """
         if task.is_suspect and how == contract.End.LAPSED:
             until_ms = self._clock.now_ms() + _VERDICT_TIMEOUT_MS
             task.verdict = owned_job.Verdict(worker, until_ms)
-        task.is_suspect = True
 
     def _handle_roster(self, worker, roster):
         """Process what happened to attempts while the link was down."""
@@ -498,6 +505,10 @@
             task.losses += 1
             if self._give_up_if_hopeless(job):
                 return
+            if task.unproven_crashes >= _MAX_UNPROVEN_CRASHES:
+                reason = f"task {task.name} was lost with each worker that started it"
+                self._answer(job, job_.State.UNFINISHED, reason)
+                return
         if task.failures >= job.route.max_attempts:
             self._answer(job, job_.State.FAILED, f"task {task.name} failed")
             return
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -52,6 +52,7 @@
         "run",
         "sent_ms",
         "step",
+        "unproven_crashes",
         "verdict",
         "worker",
     )
@@ -74,6 +75,9 @@
         self.losses = 0
         #: Whether it may have crashed a worker, so that it starts on probation.
         self.is_suspect = False
+        #: The number of its attempts that ended with their worker just after the start,
+        #: whether or not it was shown that the worker crashed.
+        self.unproven_crashes = 0
         #: The Verdict that it waits for; None if it may be sent.
         self.verdict = None
         #: The incarnations of the agents whose workers failed it.
