Pass over a copy of a worker whose crashes are unreadable

What callers saw: nothing yet; found by reading the change. Cause: the agent's loop that reads its copy in the store broke off and was started again each 100 ms, as another writer's bytes decoded to a copy with other things in place of crashes; the agent never relied on its worker's copy, and never wrote one. Before: the new row of the scenario on unreadable copies failed; after: it passes, and the copy counts as unreadable as a whole.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -263,6 +263,7 @@
       | bytes ff fe              |
       | text nothing             |
       | a copy of another worker |
+      | a copy with unreadable crashes |
 
   Scenario: An entry registers again after its key was removed
     Given a platform site of 1 entries and 1 workers
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -226,6 +226,12 @@
     _put_copy(context, index, report_cache.pack(None, 0, crashes))
 
 
+@when("the key of agent {index:d}'s worker contains a copy with unreadable crashes")
+def step_unreadable_crashes(context, index):
+    report = context.site.agents[index]._runner.report
+    _put_copy(context, index, report_cache.pack(report, 0, (7, "crash")))
+
+
 @when("agent {index:d} restarts after its clock was set back by {seconds:d} s")
 def step_set_back(context, index, seconds):
     former = context.site.agents[index]
--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -16,7 +16,7 @@
 import asyncio
 
 from jujubeglade.core import clock, log, message
-from jujubeglade.direct import job, worker
+from jujubeglade.direct import contract, job, worker
 
 PREFIX = "jujubeglade/workers/"
 #: The sequence of a report from the store, below that of every report of a worker.
@@ -109,12 +109,18 @@
     if not data:
         return None
     decoded = message.decode(data)
-    if decoded.is_err() or not isinstance(decoded.ok_value, Copy):
+    if decoded.is_err() or not _is_copy(decoded.ok_value):
         _log.warning("copy of a worker unreadable", bytes=len(data))
         return None
     return decoded.ok_value
 
 
+def _is_copy(decoded):
+    if not isinstance(decoded, Copy) or not isinstance(decoded.crashes, tuple):
+        return False
+    return all(isinstance(crash, contract.Crash) for crash in decoded.crashes)
+
+
 class ReportCache:
     """The stored report of one agent's worker."""
 
