Don't give up a job for crashes under a task that is done

Cause: a crash is proved a second after its attempt was lost, by which time the task may have ended as done on another worker; the proof then failed the whole job. Before: the new scenario ended as failed; after: completed.

--- a/features/crashing_tasks.feature
+++ b/features/crashing_tasks.feature
@@ -64,6 +64,13 @@
     And each worker that starts a task falls silent for 8000 ms, six times
     Then job 0 is unfinished within 50000 ms
 
+  Scenario: A job is not given up because of a task that is done when crashes are proved
+    Given a site of 1 entries and 2 workers of 4 cores
+    And tasks on worker 1 take 3 times as long
+    When entry 0 gets a job of 2 tasks of 4 cores for 600 ms
+    And two crashes under a done task of job 0 are proved after 900 ms
+    Then job 0 is completed within 2000 ms
+
   Scenario: A task is not given up because its workers left
     Given a site of 1 entries and 4 workers of 16 cores
     When entry 0 gets a job of 1 tasks of 4 cores for 1000 ms, whose client waits 25000 ms
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -55,6 +55,11 @@
     context.runner.run(_replace_entries(context, ms))
 
 
+@when("two crashes under a done task of job {number:d} are proved after {ms:d} ms")
+def step_late_proof(context, number, ms):
+    context.runner.run(_prove_late(context, number, ms))
+
+
 @when("each agent whose worker has crashed is restarted, for {ms:d} ms")
 def step_restart_agents(context, ms):
     context.runner.run(_restart_agents(context.site, ms))
@@ -311,3 +316,20 @@
         False,
         simulated.clock_ms,
     )
+
+
+async def _prove_late(context, number, ms):
+    """Tell the entry of crashes under a task of a job that has ended as done."""
+    await asyncio.sleep(ms / 1000)
+    done = next(
+        task
+        for task in context.site.witness.done
+        if task.job_id == context.jobs[number][0].job_id
+    )
+    told = (
+        contract.Crash("w/1", (done,), (done,), ()),
+        contract.Crash("w/2", (done,), (done,), (done,)),
+    )
+    node = context.site.nodes[0]
+    node.announcer.send_to_all(contract.Crashes(told))
+    await asyncio.sleep(0)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -409,11 +409,15 @@
                 task.is_suspect |= self._suspicions.is_suspect(task.name)
 
     def _hopeless_task(self, job):
-        """Return a task of a job that is given up because of crashes, or None."""
+        """Return a task of a job that is given up because of crashes, or None.
+
+        A crash may be proved after the task has ended as done elsewhere.
+        """
         for step in job.tasks:
             for task in step:
                 record = self._suspicions.find(task.name)
-                if record is not None and record.is_hopeless:
+                is_done = task.phase is owned_job.Phase.DONE
+                if record is not None and record.is_hopeless and not is_done:
                     return task
         return None
 
