--- a/features/direct_mutants.py
+++ b/features/direct_mutants.py
@@ -10,6 +10,7 @@
     contract,
     dispatcher,
     fleet,
+    owned_job,
     owners,
     runner,
     stops,
@@ -247,7 +248,7 @@
 def _count_no_crashes():
     return (
         (suspicion.TaskRecord, "is_hopeless", False),
-        (dispatcher, "_MAX_UNPROVEN_CRASHES", math.inf),
+        (owned_job, "_MAX_UNPROVEN_CRASHES", math.inf),
     )
 
 
@@ -255,5 +256,5 @@
 def _tell_no_crash():
     return (
         (suspicion.Suspicions, "note", lambda self, crash: False),
-        (dispatcher, "_VERDICT_TIMEOUT_MS", 0),
+        (owned_job, "_VERDICT_TIMEOUT_MS", 0),
     )
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -150,7 +150,7 @@
           former: A SimulatedAgent.
         """
         self._runner.succeed_token(former._runner.token_floor)
-        self._runner.recall_crashes(former._runner.crashes)
+        self._runner.crash_watch.recall(former._runner.crash_watch.recent)
 
     @property
     def identity(self):
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -272,7 +272,7 @@
         entry.on_link(entry_end)
         self.loop.create_task(self._watch_link(entry, entry_end))
         owner.send(node.runner.roster(owner))
-        owner.send(contract.Crashes(node.runner.crashes))
+        owner.send(contract.Crashes(node.runner.crash_watch.recent))
         node.announcer.send_room(owner)
 
     async def _watch_link(self, entry, entry_end):
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -214,8 +214,8 @@
         self._retire_owners()
         _log.info("entry reached", entry=link.remote.name, incarnation=incarnation)
         owner.send(self._runner.roster(owner))
-        if self._runner.crashes:
-            owner.send(contract.Crashes(self._runner.crashes))
+        if self._runner.crash_watch.recent:
+            owner.send(contract.Crashes(self._runner.crash_watch.recent))
         self._announcer.send_room(owner)
         await link.run()
         _log.warning("entry lost", entry=link.remote.name, incarnation=incarnation)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -28,13 +28,8 @@
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
 _NO_SUCH_WORKER = "no such worker serves this entry"
-#: A task is not sent again when this many of its attempts have ended with their worker
-#: or agent just after the start, also if it was not shown that the worker crashed.
-_MAX_UNPROVEN_CRASHES = 4
 #: An attempt whose agent was lost within this time had just started.
 _JUST_STARTED_MS = 300
-#: How long a suspect waits to learn whether its worker has crashed.
-_VERDICT_TIMEOUT_MS = 4000
 #: The job class that labels the latency metric.
 _CLASS = "direct"
 
@@ -129,7 +124,7 @@
         if job is None:
             self._scheduler.run_if_scheduled()
             job = owned_job.OwnedJob(submission, route, self._clock.now_ms())
-            self._mark_suspects(job)
+            self._suspicions.mark(job)
             refused = self._refusal(job)
             if refused is not None:
                 return refused
@@ -241,14 +236,14 @@
             for task in list(worker.assigned_tasks.values()):
                 self._release(worker, task)
                 if worker.lost_ms - task.sent_ms < _JUST_STARTED_MS:
-                    self._suspect(task)
+                    task.note_lost_at_start()
                 self._retry(task, contract.End.LOST)
             self._fleet.remove(worker)
         self._scheduler.refresh_all()
 
     def _refusal(self, job):
         """Return the Outcome of a job that is not accepted; None for one that is."""
-        hopeless = self._hopeless_task(job)
+        hopeless = self._suspicions.hopeless_task(job)
         if hopeless is not None:
             reason = _crash_reason(hopeless)
             self._log_answer(job, job_.State.FAILED, reason)
@@ -387,8 +382,10 @@
             task.failures += 1
             task.failed_on.add(worker.identity.incarnation)
         if ended.is_suspect:
-            self._await_verdict(task, worker, ended.how)
-            self._suspect(task)
+            if ended.how == contract.End.LAPSED:
+                # The worker has crashed, or was only silent.
+                task.await_verdict(worker, self._clock.now_ms())
+            task.note_lost_at_start()
         self._retry(task, ended.how)
 
     def _handle_crashes(self, body):
@@ -399,50 +396,17 @@
             for job_id in {task.job_id for task in crash.tasks}:
                 job = self._jobs.get(job_id)
                 if job is not None:
-                    self._mark_suspects(job)
+                    self._suspicions.mark(job)
                     self._give_up_if_hopeless(job)
 
-    def _mark_suspects(self, job):
-        """Mark the tasks of a job that may have crashed a worker."""
-        for step in job.tasks:
-            for task in step:
-                task.is_suspect |= self._suspicions.is_suspect(task.name)
-
-    def _hopeless_task(self, job):
-        """Return a task of a job that is given up because of crashes, or None.
-
-        A crash may be proved after the task has ended as done elsewhere.
-        """
-        for step in job.tasks:
-            for task in step:
-                record = self._suspicions.find(task.name)
-                is_done = task.phase is owned_job.Phase.DONE
-                if record is not None and record.is_hopeless and not is_done:
-                    return task
-        return None
-
     def _give_up_if_hopeless(self, job):
         """Answer a job as failed if one of its tasks is given up; return whether."""
-        task = self._hopeless_task(job)
+        task = self._suspicions.hopeless_task(job)
         if task is None:
             return False
         self._answer(job, job_.State.FAILED, _crash_reason(task))
         return True
 
-    def _suspect(self, task):
-        """Suspect a task whose worker went away before it survived its probation."""
-        task.unproven_crashes += 1
-        task.is_suspect = True
-
-    def _await_verdict(self, task, worker, how):
-        """Hold a suspect back until it is known whether its worker has crashed.
-
-        A worker whose lease has expired has crashed, or was only silent.
-        """
-        if task.is_suspect and how == contract.End.LAPSED:
-            until_ms = self._clock.now_ms() + _VERDICT_TIMEOUT_MS
-            task.verdict = owned_job.Verdict(worker, until_ms)
-
     def _handle_roster(self, worker, roster):
         """Process what happened to attempts while the link was down."""
         listed = set(roster.attempts)
@@ -509,7 +473,7 @@
             task.losses += 1
             if self._give_up_if_hopeless(job):
                 return
-            if task.unproven_crashes >= _MAX_UNPROVEN_CRASHES:
+            if task.is_lost_too_often:
                 reason = f"task {task.name} was lost with each worker that started it"
                 self._answer(job, job_.State.UNFINISHED, reason)
                 return
@@ -545,7 +509,7 @@
         Args:
           task: An OwnedTask.
         """
-        if task.verdict is not None and task.verdict.is_open(self._clock.now_ms()):
+        if task.awaits_verdict(self._clock.now_ms()):
             return False
         previous = self._stopping_tasks.get(task.name)
         if previous is None:
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -7,6 +7,12 @@
 
 from jujubeglade.direct import job, queueing
 
+#: A task is not sent again when this many of its attempts have ended with their worker
+#: or agent just after the start, also if it was not shown that the worker crashed.
+_MAX_UNPROVEN_CRASHES = 4
+#: How long a suspect waits to learn whether its worker has crashed.
+_VERDICT_TIMEOUT_MS = 4000
+
 
 class Phase(enum.Enum):
     """The progress of a task."""
@@ -85,6 +91,34 @@
         self.sent_ms = 0.0
         self.worker = None
 
+    @property
+    def is_lost_too_often(self):
+        """Return whether it is not to be sent again, as it was lost at each start."""
+        return self.unproven_crashes >= _MAX_UNPROVEN_CRASHES
+
+    def note_lost_at_start(self):
+        """Record that its worker went away before it survived its probation."""
+        self.unproven_crashes += 1
+        self.is_suspect = True
+
+    def await_verdict(self, worker, now_ms):
+        """Hold it back, if it is a suspect, until it is known whether a worker crashed.
+
+        Args:
+          worker: A Worker.
+          now_ms: A number, the monotonic clock.
+        """
+        if self.is_suspect:
+            self.verdict = Verdict(worker, now_ms + _VERDICT_TIMEOUT_MS)
+
+    def awaits_verdict(self, now_ms):
+        """Return whether it is held back.
+
+        Args:
+          now_ms: A number, the monotonic clock.
+        """
+        return self.verdict is not None and self.verdict.is_open(now_ms)
+
 
 class OwnedJob:
     """One job, from its acceptance to its answer."""
@@ -202,11 +236,13 @@
             incarnation for incarnation, count in counts.items() if count >= limit
         )
 
+    def all_tasks(self):
+        """Return all tasks, as a list."""
+        return [task for step in self.tasks for task in step]
+
     def sent_tasks(self):
         """List the tasks that a worker may be running."""
-        return [
-            task for step in self.tasks for task in step if task.phase is Phase.SENT
-        ]
+        return [task for task in self.all_tasks() if task.phase is Phase.SENT]
 
 
 def longest_chain_ms(steps):
--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -148,7 +148,9 @@
         while True:
             await asyncio.sleep(clock.seconds(_CHECK_INTERVAL_MS))
             latest = pack(
-                self._runner.report, self._runner.token_floor, self._runner.crashes
+                self._runner.report,
+                self._runner.token_floor,
+                self._runner.crash_watch.recent,
             )
             if latest != self._stored:
                 await self._write(latest)
@@ -167,7 +169,7 @@
             return
         self._runner.succeed_token(copy.token)
         if copy.crashes:
-            self._runner.recall_crashes(copy.crashes)
+            self._runner.crash_watch.recall(copy.crashes)
         report = copy.report()
         if report is not None and self._runner.report is None:
             _log.info("worker recalled", worker=report.instance.name)
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -28,11 +28,11 @@
     background,
     capacity,
     contract,
+    crash_watch,
     crashes,
     foreign_attempts,
     held_begins,
     incarnations,
-    interrupted,
     report_age,
     report_cache,
     stops,
@@ -97,14 +97,13 @@
         "_capacity",
         "_clean",
         "_clock",
-        "_crashes",
+        "_crash_watch",
         "_cursor",
         "_foreign",
         "_held",
         "_lease",
         "_limits",
         "_incarnations",
-        "_interrupted",
         "_metrics",
         "_is_evacuated",
         "_worker_client",
@@ -150,8 +149,7 @@
         self._capacity = capacity.new_capacity()
         self._instance_known = asyncio.Event()
         self._incarnations = incarnations.Incarnations()
-        self._interrupted = interrupted.new_interrupted_attempts()
-        self._crashes = crashes.new_recent_crashes()
+        self._crash_watch = crash_watch.new_crash_watch(announcer, metrics)
         self._token = clock.wall_ms()
         self._token_floor = self._token
         self._report = None
@@ -243,19 +241,9 @@
         )
 
     @property
-    def crashes(self):
-        """Return the last Crashes of the worker, as a tuple."""
-        return tuple(self._crashes)
-
-    def recall_crashes(self, recalled):
-        """Add the crashes that an earlier incarnation of this agent has seen.
-
-        Args:
-          recalled: An iterable of Crashes.
-        """
-        for crash in recalled:
-            self._crashes.add(crash)
-        self._announcer.send_to_all(contract.Crashes(self.crashes))
+    def crash_watch(self):
+        """Return the CrashWatch of the worker."""
+        return self._crash_watch
 
     def roster(self, owner):
         """List the attempts of an owner and how its earlier ones ended.
@@ -710,7 +698,7 @@
     def _apply(self, reply, sent_ms, token):
         """Reconcile the attempts with what the worker lists."""
         self._lease.note_answer(self._clock.now_ms(), token)
-        self._note_alive()
+        self._crash_watch.note_answer(self._instance)
         self._unanswered_polls = 0
         for finished in reply.finished:
             self._handle_finished(finished)
@@ -734,13 +722,6 @@
             self._clean = clean
             self._announcer.on_state_change()
 
-    def _note_alive(self):
-        """Conclude from an answer whether interrupted attempts ended in a crash."""
-        interrupted_instance = self._interrupted.instance
-        if interrupted_instance not in (None, self._instance):
-            self._note_crash()
-        self._interrupted.clear()
-
     def _handle_finished(self, finished):
         if finished.number <= self._cursor:
             return
@@ -877,32 +858,15 @@
     def _note_interrupted(self):
         """Keep which attempts ran in an incarnation that is given up."""
         if self._incarnations.has_left or self._report.draining:
-            self._interrupted.clear()
+            self._crash_watch.forget()
             return
         for attempt in self._attempts.values():
             self._add_interrupted(attempt)
         if self._incarnations.has_ended:
-            self._note_crash()
+            self._crash_watch.note_crash()
 
     def _add_interrupted(self, attempt):
-        self._interrupted.add(self._instance, attempt, self._lease.answered_ms)
-
-    def _note_crash(self):
-        """Tell the owners what ran in an incarnation that another one has replaced."""
-        if self._interrupted.instance is None:
-            return
-        crash = crashes.new_crash(
-            self._interrupted.instance, self._interrupted.attempts
-        )
-        self._crashes.add(crash)
-        self._announcer.send_to_all(contract.Crashes((crash,)))
-        self._metrics.count(metrics.Counter.CRASHED)
-        _log.warning(
-            "worker crashed",
-            worker=self._interrupted.instance.name,
-            attempts=_texts(self._interrupted.attempts),
-        )
-        self._interrupted.clear()
+        self._crash_watch.add(self._instance, attempt, self._lease.answered_ms)
 
     def _drop_starts_if_renamed(self, previous, instance):
         """Drop the remaining attempts if the new worker has another name.
@@ -944,10 +908,3 @@
 
     def _spawn(self, coroutine):
         return self._background.spawn(coroutine)
-
-
-def _texts(attempts):
-    """Write Interrupted attempts as one text for the log: task/run/age in ms."""
-    return " ".join(
-        f"{attempt.task}/{attempt.run}/{int(attempt.age_ms)}" for attempt in attempts
-    )
--- a/packages/dispatch/src/jujubeglade/direct/suspicion.py
+++ b/packages/dispatch/src/jujubeglade/direct/suspicion.py
@@ -18,6 +18,8 @@
 
 import collections
 
+from jujubeglade.direct import owned_job
+
 #: The tasks that an entry remembers.
 _MAX_TASKS = 20_000
 _MAX_CHARGES = 3
@@ -89,14 +91,34 @@
         """
         return self._records.get(task)
 
-    def is_suspect(self, task):
-        """Return whether a task is to be started on probation.
+    def mark(self, job):
+        """Mark the tasks of a job that are to be started on probation.
 
         Args:
-          task: A TaskName.
+          job: An OwnedJob.
+        """
+        for task in job.all_tasks():
+            record = self._records.get(task.name)
+            if record is not None and record.charges:
+                task.is_suspect = True
+
+    def hopeless_task(self, job):
+        """Return a task of a job that is given up, or None.
+
+        A crash may be proved after the task has ended as done elsewhere.
+
+        Args:
+          job: An OwnedJob.
+
+        Returns:
+          An OwnedTask, or None.
         """
-        record = self._records.get(task)
-        return record is not None and record.charges > 0
+        for task in job.all_tasks():
+            record = self._records.get(task.name)
+            is_done = task.phase is owned_job.Phase.DONE
+            if record is not None and record.is_hopeless and not is_done:
+                return task
+        return None
 
 
 def _charged(crash):
