Don't put tasks of a lost agent on probation

Cause: an agent that goes away says nothing of its worker, but its tasks became suspects. Now they only count as lost just after their start, for the bound on those. Before: the scenario failed; after: it passes, and the one with agents restarted after each crash still does.

--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -236,7 +236,7 @@
             for task in list(worker.assigned_tasks.values()):
                 self._release(worker, task)
                 if worker.lost_ms - task.sent_ms < _JUST_STARTED_MS:
-                    task.note_lost_at_start()
+                    task.unproven_crashes += 1
                 self._retry(task, contract.End.LOST)
             self._fleet.remove(worker)
         self._scheduler.refresh_all()
@@ -385,7 +385,8 @@
             if ended.how == contract.End.LAPSED:
                 # The worker has crashed, or was only silent.
                 task.await_verdict(worker, self._clock.now_ms())
-            task.note_lost_at_start()
+            task.unproven_crashes += 1
+            task.is_suspect = True
         self._retry(task, ended.how)
 
     def _handle_crashes(self, body):
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -96,11 +96,6 @@
         """Return whether it is not to be sent again, as it was lost at each start."""
         return self.unproven_crashes >= _MAX_UNPROVEN_CRASHES
 
-    def note_lost_at_start(self):
-        """Record that its worker went away before it survived its probation."""
-        self.unproven_crashes += 1
-        self.is_suspect = True
-
     def await_verdict(self, worker, now_ms):
         """Hold it back, if it is a suspect, until it is known whether a worker crashed.
 
