Let builds add trailing fields to messages, and prepare the options of coordination

Messages between entries and agents could not change without replacing all processes in one go. A field that is added last with a default is now left out while it has the default, and a newer build's trailing fields are dropped, so that builds before and after it talk to each other (features/message.feature; the first two scenarios fail without the change to the codec).

Settings `coordinate_from` and `remote_penalty`, both off by default, reach entries and agents as Options; nothing reads them yet. Begin, Beat and Room get the fields that the parts need, unused and so not sent.

--- a/packages/bench/src/jujubeglade/bench/counter_load.py
+++ b/packages/bench/src/jujubeglade/bench/counter_load.py
@@ -38,6 +38,7 @@
       tasks: An integer, the mean number of tasks of a job.
       run_ms: A number, the mean run time of a task.
       worth: A number, the worth of a job answered in time.
+      priority: An integer, that of its route; 0 comes first.
     """
 
     name: str
@@ -45,13 +46,21 @@
     tasks: int
     run_ms: float
     worth: float
+    priority: int
+
+    @property
+    def route(self):
+        """Return the Route to which its jobs are submitted."""
+        return dataclasses.replace(
+            direct_site.ROUTE, name=self.name, priority=self.priority
+        )
 
 
 #: The kinds of both users, whose data sheets differ only in the cores of a task.
 KINDS = (
-    Kind("check", 17.2, 8, 120.0, 0.0291),
-    Kind("issue", 3.13, 4, 1800.0, 0.16),
-    Kind("hold", 50.0, 2, 400.0, 0.01),
+    Kind("check", 17.2, 8, 120.0, 0.0291, 0),
+    Kind("issue", 3.13, 4, 1800.0, 0.16, 2),
+    Kind("hold", 50.0, 2, 400.0, 0.01, 1),
 )
 
 
@@ -66,6 +75,9 @@
       burst: A number, the rates within the burst as a multiple of those outside.
       burst_s: A pair of numbers, when the burst begins and ends, in s.
       kinds: A tuple of Kinds.
+      racks: A tuple of strings, the racks of the data of jobs of priority 0, the first
+        one of half of these jobs; empty when their data is everywhere.
+      rack_s: A pair of numbers, when these jobs name their racks, in s.
     """
 
     cpu: int
@@ -74,12 +86,21 @@
     burst: float = 1.0
     burst_s: tuple = (0.0, 0.0)
     kinds: tuple = KINDS
+    racks: tuple = ()
+    rack_s: tuple = (0.0, math.inf)
 
     def factor(self, at_s):
         """Return the multiple of the kinds' rates at a moment."""
         begin_s, end_s = self.burst_s
         return self.share * (self.burst if begin_s <= at_s < end_s else 1.0)
 
+    def rack(self, kind, at_s, rng):
+        """Draw the rack of the data of a request; empty for none."""
+        begin_s, end_s = self.rack_s
+        if kind.priority or not self.racks or not begin_s <= at_s < end_s:
+            return ""
+        return self.racks[0] if rng.random() < 0.5 else rng.choice(self.racks)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -239,14 +260,25 @@
     timeout_ms = min(most_ms, max(least_ms, timeout_ms))
     estimate = rng.lognormvariate(0.0, _ESTIMATE_SIGMA)
     submission = site.submission(count, cpu, run_ms, timeout_ms, estimate)
+    submission = _near(submission, load.rack(kind, at_s, rng))
     weight = count * run_ms * cpu / (kind.tasks * kind.run_ms * load.cpu)
     return _Request(kind, at_s, submission, objective_ms, weight)
 
 
+def _near(submission, rack):
+    """Return a submission whose data is in a rack; empty for everywhere."""
+    if not rack:
+        return submission
+    steps = tuple(dataclasses.replace(step, rack=rack) for step in submission.steps)
+    return dataclasses.replace(
+        submission, steps=steps, spec=f"{submission.spec} {rack}"
+    )
+
+
 async def _call(site, name, entry, request):
     """Make one request and wait for its answer."""
     begin_ms = site.clock.now_ms()
-    outcome = await entry.submit(request.submission, direct_site.ROUTE)
+    outcome = await entry.submit(request.submission, request.kind.route)
     took_ms = site.clock.now_ms() - begin_ms
     return Answer(
         request.kind,
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -17,6 +17,7 @@
     contract,
     dispatcher,
     job,
+    options,
     owners,
     route,
     runner,
@@ -32,6 +33,48 @@
 ROUTE = route.Route("parts", "host", "/", "parts", 0, 3, 1.6, 60.0, False)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variety:
+    """How the workers of a site differ.
+
+    Attributes:
+      sizes: A tuple of numbers, factors of the resources that the workers have in turn.
+      slowdowns: A tuple of numbers, the same for the run times of tasks.
+      rack_size: An integer, the workers of a rack; 0 for no racks.
+      remote_penalty: A number, the factor of the run time outside of a task's rack.
+    """
+
+    sizes: tuple = (1.0,)
+    slowdowns: tuple = (1.0,)
+    rack_size: int = 0
+    remote_penalty: float = 1.0
+
+    def size(self, index):
+        """Return the factor of a worker's resources.
+
+        Args:
+          index: An integer, of the worker.
+        """
+        return self.sizes[index % len(self.sizes)]
+
+    def apply(self, worker, zone, position):
+        """Set what a worker differs in, and report it.
+
+        Args:
+          worker: A SimulatedWorker.
+          zone: A string.
+          position: An integer, of the worker in its zone.
+        """
+        worker.slowdown = self.slowdowns[position % len(self.slowdowns)]
+        worker.remote_penalty = self.remote_penalty
+        if self.rack_size:
+            worker.labels = (f"{zone}-{position // self.rack_size}",)
+            worker.report()
+
+
+UNIFORM = Variety()
+
+
 class MemoryLink:
     """One end of a link in memory, with the interface of `core.link.Link`."""
 
@@ -149,12 +192,14 @@
 class Site:
     """Entries, agents and workers."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, options=options.NO_OPTIONS):
         """Create a site without processes; use `open_site`.
 
         Args:
           seed: An integer, of the random choices of the workers.
+          options: An Options.
         """
+        self.options = options
         self.rng = random.Random(seed)
         self.witness = direct_worker.Witness()
         self.loop = asyncio.get_running_loop()
@@ -174,7 +219,12 @@
           A Dispatcher.
         """
         entry = dispatcher.Dispatcher(
-            self.clock, zone, 1000, self.cluster_state, metrics.open_metrics()
+            self.clock,
+            zone,
+            1000,
+            self.cluster_state,
+            metrics.open_metrics(),
+            self.options,
         )
         self._incarnation_count += 1
         name = f"entry-{len(self.entries)}"
@@ -216,7 +266,12 @@
             "agent", name, f"{name}.{self._incarnation_count}", zone
         )
         node = Node(identity, worker, None, {}, None, None)
-        node.announcer = announcer.new_announcer(self.clock, node.owners, node.room)
+        node.announcer = announcer.new_announcer(
+            self.clock,
+            node.owners,
+            node.room,
+            lambda: self.options.coordinates(len(self.entries)),
+        )
         node.runner = runner.Runner(
             worker,
             self.clock,
@@ -323,7 +378,9 @@
         )
 
 
-async def open_site(zones, nodes, cpu, seed=1):
+async def open_site(
+    zones, nodes, cpu, seed=1, options=options.NO_OPTIONS, variety=UNIFORM
+):
     """Start a site and wait until its processes have exchanged their state.
 
     Args:
@@ -331,15 +388,20 @@
       nodes: An integer, the number of workers, assigned to the zones in turn.
       cpu: An integer, thousandths of a core of each worker.
       seed: An integer.
+      options: An Options.
+      variety: A Variety.
 
     Returns:
       A Site.
     """
-    site = Site(seed)
+    site = Site(seed, options)
     for zone in zones:
         site.add_entry(zone)
+    placed = sorted(set(zones), key=zones.index)
     for index in range(nodes):
-        await site.add_node(zones[index % len(zones)], cpu)
+        zone = placed[index % len(placed)]
+        node = await site.add_node(zone, int(cpu * variety.size(index)))
+        variety.apply(node.worker, zone, index // len(placed))
     site.ticker = asyncio.create_task(site.tick())
     await asyncio.sleep(1.1)
     return site
--- a/packages/bench/src/jujubeglade/fakes/direct_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_worker.py
@@ -130,6 +130,8 @@
         self.labels = ()
         #: The factor by which the run times of tasks are multiplied.
         self.slowdown = 1.0
+        #: The same for tasks whose data is in another rack.
+        self.remote_penalty = 1.0
         #: The share of attempts that fail.
         self.failure_share = 0.0
         #: The share of starts that get no answer and are executed late.
@@ -375,6 +377,8 @@
         fields = start.spec.split()
         needs = job.Resources(int(fields[0]), 0, 0)
         run_ms = float(fields[1]) * self.slowdown
+        if len(fields) > 2 and fields[2] not in self.labels:
+            run_ms *= self.remote_penalty
         timer = self._call_later(run_ms, self._finish, start.task)
         self._attempts[start.task] = _Attempt(start.task, start.run, needs, timer)
         self._witness.begin(self.name, start.task)
--- a/packages/core/src/jujubeglade/core/_settings_check.py
+++ b/packages/core/src/jujubeglade/core/_settings_check.py
@@ -216,6 +216,16 @@
     return value
 
 
+@reader("number")
+def _read_number(value, rule, path, report):
+    remedy = f"write a number from {rule.low} to {rule.high}"
+    if type(value) not in (int, float):
+        return report.add(path, f"{_render(value)} isn't a number", remedy)
+    if not rule.low <= value <= rule.high:
+        return report.add(path, f"{value} is out of range", remedy)
+    return value
+
+
 @reader("name")
 def _read_name(value, rule, path, report):
     remedy = f"write {rule.low} to {rule.high} letters, digits, dots or dashes"
--- a/packages/core/src/jujubeglade/core/_settings_direct.py
+++ b/packages/core/src/jujubeglade/core/_settings_direct.py
@@ -43,6 +43,13 @@
     grace_ms: int = rules.integer(
         1_000, 600_000, "How long a process may take to end after SIGTERM.", 6_000
     )
+    coordinate_from: int = rules.integer(
+        0,
+        1_000,
+        "The number of entries from which entries and agents coordinate how they use "
+        "scarce room; 0 for never.",
+        0,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +60,13 @@
     readiness: records.Address = rules.listener(
         "Where the load balancer checks readiness."
     )
+    remote_penalty: float = rules.number(
+        1,
+        100,
+        "How many times longer a task runs outside of the rack of its data; 1 if that "
+        "makes no difference.",
+        1,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/src/jujubeglade/core/_settings_rules.py
+++ b/packages/core/src/jujubeglade/core/_settings_rules.py
@@ -85,6 +85,21 @@
     return _field(Rule("integer", doc, low, high, live=live), default=default)
 
 
+def number(low, high, doc, default):
+    """Declare a number within bounds, whole or not.
+
+    Args:
+      low: A number, the lowest value allowed.
+      high: A number, the highest value allowed.
+      doc: A string, the sentence for the reference page.
+      default: A number.
+
+    Returns:
+      A dataclasses.Field.
+    """
+    return _field(Rule("number", doc, low, high), default=default)
+
+
 def name(doc):
     """Declare a required name of letters, digits, dots and dashes.
 
--- a/packages/core/src/jujubeglade/core/message.py
+++ b/packages/core/src/jujubeglade/core/message.py
@@ -2,8 +2,10 @@
 
 A message is an immutable record, registered under a code by `register`. Each
 record is encoded as a msgpack extension of that code, whose data is the array of
-its fields, so that records can contain other records. A message that expects an
-answer is sent inside a `Request`, its answer inside a `Reply`.
+its fields, so that records can contain other records. A field that is added later
+comes last and has a default, so that builds before and after it can talk to each
+other. A message that expects an answer is sent inside a `Request`, its answer inside a
+`Reply`.
 """
 
 import dataclasses
@@ -15,6 +17,7 @@
 from jujubeglade.core import problem
 
 _classes = {}
+_field_counts = {}
 _packers = {}
 
 
@@ -30,17 +33,44 @@
 
     def decorate(cls):
         record = dataclasses.dataclass(frozen=True, slots=True)(cls)
-        names = [field.name for field in dataclasses.fields(record)]
+        fields = dataclasses.fields(record)
         if code in _classes:
             raise ValueError(f"message code {code} is taken; choose another")
         _classes[code] = record
-        _packers[record] = (code, _fields_getter(names))
+        _field_counts[code] = len(fields)
+        _packers[record] = (code, _fields_getter(fields))
         return record
 
     return decorate
 
 
-def _fields_getter(names):
+def _fields_getter(fields):
+    """Return a function from a record to the tuple of its fields to be sent.
+
+    Trailing fields that have their default are left out, so that a build that doesn't
+    know them reads the message as long as they are not used.
+    """
+    names = [field.name for field in fields]
+    defaults = [
+        field.default for field in fields if field.default is not dataclasses.MISSING
+    ]
+    get_all = _all_fields_getter(names)
+    if not defaults:
+        return get_all
+
+    def get(record):
+        values = get_all(record)
+        count = len(values)
+        for default in reversed(defaults):
+            if values[count - 1] != default:
+                break
+            count -= 1
+        return values[:count]
+
+    return get
+
+
+def _all_fields_getter(names):
     if not names:
         return lambda record: ()
     getter = operator.attrgetter(*names)
@@ -149,7 +179,9 @@
     cls = _classes.get(code)
     if cls is None:
         raise ValueError(f"message code {code} is not known")
-    return cls(*msgpack.unpackb(data, ext_hook=_unpack, use_list=False))
+    fields = msgpack.unpackb(data, ext_hook=_unpack, use_list=False)
+    # A newer build may send more trailing fields than this one knows.
+    return cls(*fields[: _field_counts[code]])
 
 
 @register(0)
--- a/packages/core/src/jujubeglade/core/settings_page.py
+++ b/packages/core/src/jujubeglade/core/settings_page.py
@@ -24,6 +24,7 @@
 
 _SHAPES = {
     "integer": "whole number",
+    "number": "number",
     "name": "name",
     "choice": "word",
     "secret": "secret",
@@ -84,7 +85,7 @@
     shape = _SHAPES[rule.kind]
     if rule.choices:
         return ", ".join(f"`{choice}`" for choice in rule.choices)
-    if rule.kind == "integer":
+    if rule.kind in ("integer", "number"):
         return f"{rule.low} to {rule.high}"
     if rule.kind in ("secret", "secrets"):
         unit = "character" if rule.low == 1 else "characters"
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -13,6 +13,7 @@
     announcer,
     contract,
     dialing,
+    options,
     owners,
     process,
     report_cache,
@@ -47,7 +48,7 @@
         # The addresses of the entries that other agents serve.
         self._unwanted_addresses = frozenset()
         self._announcer = announcer.new_announcer(
-            clock, self._owners, self._describe_room
+            clock, self._owners, self._describe_room, self._coordinates
         )
         self._runner = runner.Runner(
             self._worker_client,
@@ -220,6 +221,11 @@
         await link.run()
         _log.warning("entry lost", entry=link.remote.name, incarnation=incarnation)
 
+    def _coordinates(self):
+        """Return whether the entries coordinate how they use scarce room."""
+        entries = len(self._cluster_state.members.addresses)
+        return options.of_settings(self._settings).coordinates(entries)
+
     def _describe_room(self):
         """Describe the room, with the revisions of the cluster state."""
         return self._runner.room(
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -21,16 +21,27 @@
 class Announcer:
     """Sends owners the room."""
 
-    __slots__ = ("_clock", "_describe", "_due_ms", "_owners", "_timer", "_sent_ms")
-
-    def __init__(self, clock, owners, describe):
+    __slots__ = (
+        "_clock",
+        "_coordinates",
+        "_describe",
+        "_due_ms",
+        "_owners",
+        "_timer",
+        "_sent_ms",
+    )
+
+    def __init__(self, clock, owners, describe, coordinates):
         """Create an announcer with nothing to send.
 
         Args:
           clock: A Clock.
           owners: A dict whose values are the Owners.
           describe: A function without arguments that returns the Room.
+          coordinates: A function without arguments that returns whether the entries
+            coordinate how they use scarce room.
         """
+        self._coordinates = coordinates
         self._clock = clock
         self._owners = owners
         self._describe = describe
@@ -111,15 +122,17 @@
                 owner.send_room(room)
 
 
-def new_announcer(clock, owners, describe):
+def new_announcer(clock, owners, describe, coordinates):
     """Make the announcer of an agent.
 
     Args:
       clock: A Clock.
       owners: A dict whose values are the Owners.
       describe: A function without arguments that returns the Room.
+      coordinates: A function without arguments that returns whether the entries
+        coordinate how they use scarce room.
 
     Returns:
       An Announcer.
     """
-    return Announcer(clock, owners, describe)
+    return Announcer(clock, owners, describe, coordinates)
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -77,6 +77,8 @@
         and be in time; infinite when no job waits.
       echo_ms: A number, the `sent_ms` of a Room that the owner received on this link
         some time ago; 0 for none. See `fleet.Worker.echo_ms`.
+      backlog: A tuple of rows (priority, slack_ms, work), what waits at the owner; see
+        `backlog`.
     """
 
     configuration: int
@@ -86,6 +88,7 @@
     largest: job.Resources
     slack_ms: float
     echo_ms: float
+    backlog: tuple = ()
 
 
 @message.register(87)
@@ -103,6 +106,8 @@
       left_ms: A number, the time in ms after which the attempt is too late.
       echo_ms: A number, the `sent_ms` of the last Room received on this link.
       is_suspect: A boolean, whether the task may have crashed a worker before.
+      estimate_ms: A number, its expected run time on this worker at usual speed; 0 when
+        it isn't known.
     """
 
     task: job.TaskName
@@ -115,6 +120,7 @@
     left_ms: float
     echo_ms: float
     is_suspect: bool
+    estimate_ms: float = 0.0
 
 
 @message.register(88)
@@ -151,6 +157,10 @@
         its VM is suspended. The owner echoes it, which proves that it was alive then.
       on_probation: A boolean, whether a suspect has just started, so that no other
         one may start.
+      slowdown: A number, the run times on this worker over the expected ones, as the
+        agent has measured them; 0 when it isn't known.
+      backlog: A tuple of rows (priority, slack_ms, work), what waits at the agent's
+        other owners; see `backlog`.
     """
 
     service: str
@@ -165,6 +175,8 @@
     members: int
     sent_ms: float
     on_probation: bool
+    slowdown: float = 0.0
+    backlog: tuple = ()
 
 
 @message.register(90)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -23,6 +23,9 @@
 from jujubeglade.direct import (
     job as job_,
 )
+from jujubeglade.direct import (
+    options as options_,
+)
 
 #: A job is answered this long before its client timeout expires.
 _ANSWER_MARGIN_MS = 15
@@ -48,12 +51,21 @@
         "_queue_key",
         "_stopping_tasks",
         "_metrics",
+        "_options",
         "_scheduler",
         "_suspicions",
         "_heartbeats",
     )
 
-    def __init__(self, clock, zone, lease_ms, cluster_state, metrics):
+    def __init__(
+        self,
+        clock,
+        zone,
+        lease_ms,
+        cluster_state,
+        metrics,
+        options=options_.NO_OPTIONS,
+    ):
         """Start with no job and no worker.
 
         Args:
@@ -62,7 +74,9 @@
           lease_ms: An integer, the longest lease of a worker.
           cluster_state: A ClusterState.
           metrics: A Metrics.
+          options: An Options.
         """
+        self._options = options
         self._clock = clock
         self._cluster_state = cluster_state
         self._metrics = metrics
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -12,6 +12,7 @@
     configuration_fetch,
     contract,
     dispatcher,
+    options,
     peer_entry,
     process,
     registration,
@@ -46,7 +47,12 @@
         """
         super().__init__(settings, clock, peer_entry.ROLE)
         self._dispatcher = dispatcher.Dispatcher(
-            clock, settings.zone, settings.hold_ms, self._cluster_state, self._metrics
+            clock,
+            settings.zone,
+            settings.hold_ms,
+            self._cluster_state,
+            self._metrics,
+            options.of_settings(settings),
         )
         self._request_servers = self._platform.new_request_servers(settings, self)
         self._route_table = route_table.new_table(route.NO_CONFIGURATION)
