Give the processes of the fields the setting coordinate_from

Entries and agents read their Options from the settings since, and the stand-in settings of direct_processes lack coordinate_from: every scenario on a field ended with an AttributeError.

--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -309,6 +309,7 @@
         resubmit_ms=direct_site.RESUBMIT_DELAY_MS,
         contact_timeout_ms=3000,
         report_interval_ms=1500,
+        coordinate_from=0,
         seeds=(),
         stream=types.SimpleNamespace(port=_PORT),
         worker=worker,
