Add decisions about wanted racks, and an order of equal workers by entry

Cause: jobs that need no rack fill the rack that others need.

Change: pure functions of records. Nothing calls them yet; fast_first stays.

--- a/packages/dispatch/src/jujubeglade/direct/placement.py
+++ b/packages/dispatch/src/jujubeglade/direct/placement.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from jujubeglade.direct import job, policy
+from jujubeglade.direct import job, locality, policy, spreading
 
 #: Slowdowns are rounded to multiples of this; equal ones count as equally fast.
 _SLOWDOWN_STEP = 0.2
@@ -25,6 +25,8 @@
       zone: A string, the availability zone of the entry.
       excluded: A frozenset of agents' incarnations that must not be chosen.
       is_suspect: A boolean, whether the worker has to accept suspects; see `crashes`.
+      racks: A mapping from the names of the wanted racks to Racks; see `locality`.
+      spread_as: A string, the name of the entry if entries coordinate; else empty.
     """
 
     service: str
@@ -34,15 +36,19 @@
     zone: str
     excluded: frozenset = frozenset()
     is_suspect: bool = False
+    racks: dict = dataclasses.field(default_factory=dict)
+    spread_as: str = ""
 
 
-def request_of(task, fleet, zone):
+def request_of(task, fleet, zone, racks=None, spread_as=""):
     """Describe what a task requires of a worker.
 
     Args:
       task: An OwnedTask.
       fleet: A Fleet.
       zone: A string, the availability zone of the entry.
+      racks: A dict from the names of the wanted racks to Racks.
+      spread_as: A string, the name of the entry if entries coordinate; else empty.
 
     Returns:
       A Request.
@@ -63,6 +69,8 @@
         zone,
         excluded,
         task.is_suspect,
+        racks or {},
+        spread_as,
     )
 
 
@@ -99,11 +107,34 @@
 
     A worker in the rack of the task's data goes before all others.
     """
+    return min(workers, key=lambda worker: _fast_first_cost(worker, request, now_ms))
+
+
+def _fast_first_cost(worker, request, now_ms):
+    far_from_data = request.rack != "" and request.rack not in worker.room.labels
+    slowdown = round(worker.health.slowdown(now_ms) / _SLOWDOWN_STEP)
+    return far_from_data, slowdown, worker.zone != request.zone, -worker.free.cpu
+
+
+@policy.choice("placement", "wanted_racks")
+def wanted_racks(workers, request, now_ms):
+    """Choose as `fast_first` does, but leave racks to the tasks that want them.
+
+    Workers that are wanted less by other tasks go before faster ones. If entries
+    coordinate, each prefers workers with about the same room in an order of its own.
+    """
 
     def cost(worker):
-        far_from_data = request.rack != "" and request.rack not in worker.room.labels
-        slowdown = round(worker.health.slowdown(now_ms) / _SLOWDOWN_STEP)
-        return far_from_data, slowdown, worker.zone != request.zone, -worker.free.cpu
+        far_from_data, *others, room = _fast_first_cost(worker, request, now_ms)
+        wanted = locality.avoidance(request.racks, request.rack, worker.room.labels)
+        if request.spread_as:
+            room = spreading.order(
+                request.spread_as,
+                worker.identity.name,
+                worker.free.cpu,
+                request.needs.cpu,
+            )
+        return far_from_data, wanted, *others, room
 
     return min(workers, key=cost)
 
