Run tasks in the rack of their data while that helps their callers

Change: RackDemand counts what lately asked for each rack, and the scheduler holds back tasks that are in time only in their rack. The expected run time outside of the rack, noted when an attempt is sent, goes into the learnt speed and the forecasts. Acts for routes whose slack factor is below remote_penalty. Entries that coordinate spread over equal workers. Logs: outside_rack in "attempt sent", "attempt held back for its rack" once for each task; metric tasks_placed_total by rack inside or outside.

Tests: features/locality.feature. Leaving out any of 14 rules fails a scenario; the test of blocked jobs first passed without its rule, was made to fail, and showed a fault: a job that waited for its rack counted as without room when no worker had room since the last round.

--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -206,6 +206,8 @@
         self.clock = virtual.VirtualClock(self.loop)
         self.cluster_state = cluster_state.new_cluster_state()
         self.entries = []
+        # The Metrics of each entry, by its incarnation.
+        self.metrics = {}
         self.nodes = []
         # Events by incarnation, set when the entry is killed.
         self.killed = {}
@@ -218,20 +220,23 @@
         Returns:
           A Dispatcher.
         """
+        name = f"entry-{len(self.entries)}"
+        entry_metrics = metrics.open_metrics()
         entry = dispatcher.Dispatcher(
             self.clock,
             zone,
             1000,
             self.cluster_state,
-            metrics.open_metrics(),
+            entry_metrics,
             self.options,
+            name,
         )
         self._incarnation_count += 1
-        name = f"entry-{len(self.entries)}"
         identity = link.Identity(
             "entry", name, f"{name}.{self._incarnation_count}", zone
         )
         self.entries.append((identity, entry))
+        self.metrics[identity.incarnation] = entry_metrics
         self._register_entries()
         self.killed[identity.incarnation] = asyncio.Event()
         for node in self.nodes:
--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -37,6 +37,7 @@
     ANSWERED = "jobs_answered"
     STARTED = "tasks_started"
     REJECTED = "tasks_rejected"
+    PLACED = "tasks_placed"
     RETRIED = "tasks_retried"
     HEDGED = "tasks_hedged"
     CRASHED = "workers_crashed"
@@ -65,6 +66,10 @@
     Counter.ANSWERED: (("state",), "Jobs answered, by state."),
     Counter.STARTED: ((), "Task attempts sent to the upstream."),
     Counter.REJECTED: (("kind",), "Task attempts that will never start here."),
+    Counter.PLACED: (
+        ("rack",),
+        "Task attempts sent to a worker inside or outside of the rack of their data.",
+    ),
     Counter.RETRIED: ((), "Task attempts after a failed one."),
     Counter.HEDGED: ((), "Task attempts beside a slow one."),
     Counter.CRASHED: ((), "Crashes of the worker while it ran attempts."),
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -16,6 +16,7 @@
     heartbeats,
     owned_job,
     policy,
+    rack_demand,
     scheduler,
     subset,
     suspicion,
@@ -51,7 +52,9 @@
         "_queue_key",
         "_stopping_tasks",
         "_metrics",
+        "_name",
         "_options",
+        "_rack_demand",
         "_scheduler",
         "_suspicions",
         "_heartbeats",
@@ -65,6 +68,7 @@
         cluster_state,
         metrics,
         options=options_.NO_OPTIONS,
+        name="",
     ):
         """Start with no job and no worker.
 
@@ -75,14 +79,25 @@
           cluster_state: A ClusterState.
           metrics: A Metrics.
           options: An Options.
+          name: A string, the name of the entry.
         """
         self._options = options
+        self._name = name
         self._clock = clock
         self._cluster_state = cluster_state
         self._metrics = metrics
         self._fleet = fleet.new_fleet(lease_ms, clock.now_ms())
+        self._rack_demand = rack_demand.RackDemand(
+            self._fleet, cluster_state, metrics, options
+        )
         self._scheduler = scheduler.Scheduler(
-            clock, self._fleet, zone, cluster_state, self
+            clock,
+            self._fleet,
+            zone,
+            cluster_state,
+            self,
+            self._rack_demand,
+            self._spread_as,
         )
         self._heartbeats = heartbeats.Heartbeats(
             clock, self._fleet, cluster_state, self._scheduler
@@ -139,6 +154,7 @@
             self._scheduler.run_if_scheduled()
             job = owned_job.OwnedJob(submission, route, self._clock.now_ms())
             self._suspicions.mark(job)
+            self._rack_demand.note(job, job.accepted_ms)
             refused = self._refusal(job)
             if refused is not None:
                 return refused
@@ -275,7 +291,7 @@
         job.key = self._queue_key(job.arrival())
         entries = subset.sharing_entries(len(self._cluster_state.members.addresses))
         forecast = forecasts.new_forecast(
-            self._fleet, self._scheduler.queue, job, entries
+            self._fleet, self._scheduler.queue, job, entries, self._rack_demand
         )
         retry_after_ms = self._admit(forecast)
         if not retry_after_ms or expects_workers:
@@ -388,7 +404,7 @@
             self._scheduler.refresh(worker)
         if ended.how == contract.End.DONE:
             now_ms = self._clock.now_ms()
-            worker.health.note_done(ended.ran_ms, task.step.estimate_ms, now_ms)
+            worker.health.note_done(ended.ran_ms, task.expected_ms, now_ms)
             self._finish(task)
             return
         if ended.how == contract.End.FAILED:
@@ -553,11 +569,14 @@
         task.worker = worker
         task.phase = owned_job.Phase.SENT
         task.sent_ms = now_ms
+        # The labels of the worker are unknown after a new link until it reports.
+        task.expected_ms = self._rack_demand.expected_ms(task, worker)
         job.may_have_started = True
         worker.assigned_tasks[task.name] = task
         left_ms = job.deadline_ms - now_ms
         worker.begin(task, left_ms)
         self._metrics.count(metrics.Counter.STARTED)
+        self._rack_demand.count_sent(task, worker)
         _log.info(
             "attempt sent",
             task=task.name,
@@ -567,8 +586,14 @@
             room_age_ms=int(now_ms - worker.room_received_ms),
             pace=round(worker.health.slowdown(now_ms), 2),
             candidates=candidates,
+            outside_rack=self._rack_demand.is_outside(task, worker),
         )
 
+    def _spread_as(self):
+        """Return the name of this entry if entries coordinate; else an empty string."""
+        entries = len(self._cluster_state.members.addresses)
+        return self._name if self._options.coordinates(entries) else ""
+
 
 def _awaited(worker):
     """Return the attempts on a worker whose end an open job waits for.
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -53,6 +53,7 @@
             self._cluster_state,
             self._metrics,
             options.of_settings(settings),
+            settings.name,
         )
         self._request_servers = self._platform.new_request_servers(settings, self)
         self._route_table = route_table.new_table(route.NO_CONFIGURATION)
--- a/packages/dispatch/src/jujubeglade/direct/forecasts.py
+++ b/packages/dispatch/src/jujubeglade/direct/forecasts.py
@@ -3,7 +3,7 @@
 from jujubeglade.direct import admission, owned_job
 
 
-def new_forecast(fleet, queue, job, entries):
+def new_forecast(fleet, queue, job, entries, rack_demand):
     """Make the forecast of a job that has just arrived.
 
     Args:
@@ -11,13 +11,15 @@
       queue: A Queue.
       job: An OwnedJob with its key.
       entries: An integer, the number of entries that share the workers.
+      rack_demand: A RackDemand.
 
     Returns:
       A Forecast.
     """
     steps = job.submission.steps
     free_cpu, used_cpu = _room(fleet, job.route.service)
-    running = tuple(_running(fleet, job.accepted_ms))
+    now_ms = job.accepted_ms
+    running = tuple(_running(fleet, now_ms))
     others = admission.share_of_others(
         running, used_cpu // max(1, entries), owned_job.longest_chain_ms(steps)
     )
@@ -25,8 +27,12 @@
     return admission.Forecast(
         free_cpu,
         running + others,
-        tuple(_load(task.step) for task in waiting),
-        tuple(_load(step) for step in steps for _ in range(step.count)),
+        tuple(_load(rack_demand, task.job, task.step, now_ms) for task in waiting),
+        tuple(
+            _load(rack_demand, job, step, now_ms)
+            for step in steps
+            for _ in range(step.count)
+        ),
         job.due_ms - job.accepted_ms,
         job.submission.timeout_ms,
     )
@@ -49,10 +55,10 @@
     for worker in fleet:
         slowdown = worker.health.slowdown(now_ms)
         for task in worker.assigned_tasks.values():
-            left_ms = task.step.estimate_ms * slowdown - (now_ms - task.sent_ms)
+            left_ms = task.expected_ms * slowdown - (now_ms - task.sent_ms)
             yield admission.Load(task.step.needs.cpu, max(0.0, left_ms))
 
 
-def _load(step):
+def _load(rack_demand, job, step, now_ms):
     """Return the Load of a waiting task of a step."""
-    return admission.Load(step.needs.cpu, step.estimate_ms)
+    return admission.Load(step.needs.cpu, rack_demand.forecast_ms(job, step, now_ms))
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -48,9 +48,11 @@
     """One task of an owned job."""
 
     __slots__ = (
+        "expected_ms",
         "failed_on",
         "failures",
         "name",
+        "is_held",
         "is_suspect",
         "job",
         "losses",
@@ -60,6 +62,7 @@
         "step",
         "unproven_crashes",
         "verdict",
+        "was_held",
         "worker",
     )
 
@@ -89,7 +92,14 @@
         #: The incarnations of the agents whose workers failed it.
         self.failed_on = set()
         self.sent_ms = 0.0
+        #: Its expected run time on a worker of usual speed, as of its last attempt.
+        self.expected_ms = step.estimate_ms
         self.worker = None
+        #: Whether it waits for its rack and leaves room elsewhere to others; see
+        #: `locality`.
+        self.is_held = False
+        #: Whether that was ever so.
+        self.was_held = False
 
     @property
     def is_lost_too_often(self):
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -27,10 +27,14 @@
         "_place",
         "_queue",
         "_grown_workers",
+        "_rack_demand",
+        "_spread_as",
         "_zone",
     )
 
-    def __init__(self, clock, fleet, zone, cluster_state, dispatcher):
+    def __init__(
+        self, clock, fleet, zone, cluster_state, dispatcher, rack_demand, spread_as
+    ):
         """Create a scheduler with an empty queue.
 
         Args:
@@ -40,6 +44,9 @@
           cluster_state: A ClusterState.
           dispatcher: The Dispatcher, with `send(task, worker, now_ms, candidates)`,
             `may_send(task)`, `refuse_late(job)` and `on_round()`.
+          rack_demand: A RackDemand.
+          spread_as: A function without arguments that returns the name of the entry if
+            entries coordinate; else an empty string.
         """
         self._clock = clock
         self._fleet = fleet
@@ -47,7 +54,9 @@
         self._cluster_state = cluster_state
         self._dispatcher = dispatcher
         self._queue = queueing.Queue()
-        self._place = policy.find("placement", "fast_first")
+        self._rack_demand = rack_demand
+        self._spread_as = spread_as
+        self._place = policy.find("placement", "wanted_racks")
         self._is_scheduled = False
         # Whether the next round offers all jobs to the whole fleet.
         self._offers_all = False
@@ -127,12 +136,15 @@
           A list of the jobs that still wait.
         """
         waiting = []
+        unplaced = 0
         for job in jobs:
-            if len(waiting) < _MAX_UNPLACED_JOBS:
+            if unplaced < _MAX_UNPLACED_JOBS:
                 workers = grown if job.was_offered else tuple(self._fleet)
                 job.was_offered = self._send_ready(job, workers, now_ms)
             if job.ready:
                 waiting.append(job)
+                # A job that waits for its rack left room that others may use.
+                unplaced += not any(task.is_held for task in job.ready)
             else:
                 self._queue.remove(job)
         return waiting
@@ -145,12 +157,18 @@
         """
         waiting = []
         were_offered = True
+        held_step = None
         for number, task in enumerate(job.ready):
-            if not self._dispatcher.may_send(task):
+            if task.step is held_step:
+                waiting.append(task)
+            elif not self._dispatcher.may_send(task):
                 were_offered = False
                 waiting.append(task)
             elif self._send(task, workers, now_ms):
                 continue
+            elif task.is_held:
+                held_step = task.step
+                waiting.append(task)
             elif task.is_suspect:
                 # Others may have room where no further suspect may start.
                 waiting.append(task)
@@ -163,11 +181,16 @@
 
     def _send(self, task, workers, now_ms):
         """Send a task to one of the workers; return whether one had room."""
-        request = placement.request_of(task, self._fleet, self._zone)
+        racks = self._rack_demand.racks(task.job.route.service, now_ms)
+        request = placement.request_of(
+            task, self._fleet, self._zone, racks, self._spread_as()
+        )
         evacuated = self._cluster_state.evacuations.zones
         candidates = placement.candidates(workers, request, evacuated, now_ms)
         if not candidates:
             return False
         worker = self._place(candidates, request, now_ms)
+        if self._rack_demand.holds_back(task, worker, request.excluded, now_ms):
+            return False
         self._dispatcher.send(task, worker, now_ms, len(candidates))
         return True
