--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -18,6 +18,7 @@
     policy,
     rack_demand,
     scheduler,
+    spreading,
     subset,
     suspicion,
 )
@@ -52,7 +53,6 @@
         "_queue_key",
         "_stopping_tasks",
         "_metrics",
-        "_name",
         "_options",
         "_rack_demand",
         "_scheduler",
@@ -82,7 +82,6 @@
           name: A string, the name of the entry.
         """
         self._options = options
-        self._name = name
         self._clock = clock
         self._cluster_state = cluster_state
         self._metrics = metrics
@@ -97,7 +96,7 @@
             cluster_state,
             self,
             self._rack_demand,
-            self._spread_as,
+            lambda: spreading.spread_as(name, options, cluster_state),
         )
         self._heartbeats = heartbeats.Heartbeats(
             clock, self._fleet, cluster_state, self._scheduler
@@ -589,11 +588,6 @@
             outside_rack=self._rack_demand.is_outside(task, worker),
         )
 
-    def _spread_as(self):
-        """Return the name of this entry if entries coordinate; else an empty string."""
-        entries = len(self._cluster_state.members.addresses)
-        return self._name if self._options.coordinates(entries) else ""
-
 
 def _awaited(worker):
     """Return the attempts on a worker whose end an open job waits for.
--- a/packages/dispatch/src/jujubeglade/direct/spreading.py
+++ b/packages/dispatch/src/jujubeglade/direct/spreading.py
@@ -12,6 +12,18 @@
 _HASH_BYTES = 8
 
 
+def spread_as(entry, options, cluster_state):
+    """Return the name of an entry if entries coordinate; else an empty string.
+
+    Args:
+      entry: A string, the name of the entry.
+      options: An Options.
+      cluster_state: A ClusterState.
+    """
+    entries = len(cluster_state.members.addresses)
+    return entry if options.coordinates(entries) else ""
+
+
 def order(entry, worker, free_cpu, needs_cpu):
     """Return the place of a worker among equally good ones, as a tuple to sort by.
 
