Make the choice among equal workers repeatable

Cause: the workers whose room has grown were a set of objects, whose order depends on their addresses; equal workers were then chosen differently from run to run.

Change: keys of a dict, in the order in which the room grew.

--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -60,8 +60,9 @@
         self._is_scheduled = False
         # Whether the next round offers all jobs to the whole fleet.
         self._offers_all = False
-        # The workers whose room has grown since the last round.
-        self._grown_workers = set()
+        # The workers whose room has grown since the last round, as keys in that order:
+        # the choice among equal ones must not depend on their addresses in memory.
+        self._grown_workers = {}
 
     @property
     def queue(self):
@@ -88,7 +89,7 @@
         Args:
           worker: A Worker.
         """
-        self._grown_workers.add(worker)
+        self._grown_workers[worker] = None
         if len(self._queue):
             self._run_soon()
 
