--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -36,6 +36,7 @@
     report_age,
     report_cache,
     stops,
+    sweep,
     worker,
     worker_lease,
 )
@@ -46,7 +47,6 @@
 #: The interval of polls while the worker does not answer, and until it has listed its
 #: attempts and those that this runner has not started have ended.
 _POLL_RETRY_MS = 50
-_SWEEP_INTERVAL_MS = 50
 #: The worker lease expires this long before a client's next submission can start.
 _RESUBMIT_MARGIN_MS = 50
 #: Nothing starts while the lease could be extended by less than this.
@@ -54,8 +54,6 @@
 #: How long a new instance is relied on before it reports. A worker that is about to
 #: leave reports so within this time after an agent restarts.
 _UNCONFIRMED_LIMIT_MS = 2000
-#: A start whose answer was lost is carried out within this time or never.
-_LATE_START_LIMIT_MS = 15_000
 #: Exceeds any token that an earlier incarnation of this agent may have used.
 _TOKEN_INCREMENT = 1_000_000
 
@@ -405,7 +403,15 @@
 
     async def run(self):
         """Poll the worker, and stop attempts that are too late, until cancelled."""
-        self._spawn(self._sweep())
+        self._spawn(
+            sweep.run(
+                self._attempts,
+                self._clock.now_ms,
+                lambda: self._instance is not None,
+                self._halt,
+                self._end,
+            )
+        )
         while True:
             if self._instance is None:
                 self._instance_known.clear()
@@ -888,23 +894,5 @@
             self._token_floor = self._token
             _log.warning("fencing token raised", token=self._token)
 
-    async def _sweep(self):
-        """Stop attempts that have passed their time limit, until cancelled.
-
-        Without a worker, an attempt counts as lost once its start can no longer be
-        carried out.
-        """
-        while True:
-            await asyncio.sleep(clock.seconds(_SWEEP_INTERVAL_MS))
-            now_ms = self._clock.now_ms()
-            for attempt in list(self._attempts.values()):
-                if now_ms > attempt.end_by_ms:
-                    self._halt(attempt, "client timeout")
-                if (
-                    self._instance is None
-                    and now_ms > attempt.end_by_ms + _LATE_START_LIMIT_MS
-                ):
-                    self._end(attempt, contract.End.LOST)
-
     def _spawn(self, coroutine):
         return self._background.spawn(coroutine)
