Let the crash watch decide what it keeps of an incarnation that is given up

The runner told its crash watch step by step what to forget or to add when it gives up an incarnation of the worker. That rule concerns only the watch and is a method of it now.

Evidence: crashing_tasks, direct_logs and direct features pass (67 scenarios).

--- a/packages/dispatch/src/jujubeglade/direct/crash_watch.py
+++ b/packages/dispatch/src/jujubeglade/direct/crash_watch.py
@@ -55,6 +55,25 @@
         """
         self._interrupted.add(instance, attempt, answered_ms)
 
+    def note_lost(self, instance, attempts, answered_ms, was_leaving, has_ended):
+        """Keep which attempts ran in an incarnation that is given up.
+
+        Args:
+          instance: An Instance.
+          attempts: An iterable of the Attempts that ran there.
+          answered_ms: A number, when it last answered a poll, on the monotonic clock.
+          was_leaving: A boolean, whether it was draining or had left, so that its end
+            is no crash.
+          has_ended: A boolean, whether it is known that it has ended.
+        """
+        if was_leaving:
+            self.forget()
+            return
+        for attempt in attempts:
+            self.add(instance, attempt, answered_ms)
+        if has_ended:
+            self.note_crash()
+
     def note_answer(self, instance):
         """Conclude from an answer why attempts have ended.
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -783,7 +783,7 @@
             self._log_lapse(now_ms)
         for attempt in list(self._attempts.values()):
             if attempt.phase is attempt_.Phase.RUNNING:
-                self._add_interrupted(attempt)
+                self._crash_watch.add(self._instance, attempt, self._lease.answered_ms)
                 self._end(attempt, contract.End.LAPSED)
         if self._incarnations.is_doubtful:
             self._replace_instance("worker silent")
@@ -852,7 +852,13 @@
         if self._instance is None:
             return
         _log.warning("worker lost", worker=self._instance.name, cause=cause)
-        self._note_interrupted()
+        self._crash_watch.note_lost(
+            self._instance,
+            self._attempts.values(),
+            self._lease.answered_ms,
+            self._incarnations.has_left or self._report.draining,
+            self._incarnations.has_ended,
+        )
         self._incarnations.lose()
         self._foreign.clear()
         for attempt in list(self._attempts.values()):
@@ -861,19 +867,6 @@
             elif attempt.phase is attempt_.Phase.RUNNING:
                 attempt.phase = attempt_.Phase.UNRESOLVED
 
-    def _note_interrupted(self):
-        """Keep which attempts ran in an incarnation that is given up."""
-        if self._incarnations.has_left or self._report.draining:
-            self._crash_watch.forget()
-            return
-        for attempt in self._attempts.values():
-            self._add_interrupted(attempt)
-        if self._incarnations.has_ended:
-            self._crash_watch.note_crash()
-
-    def _add_interrupted(self, attempt):
-        self._crash_watch.add(self._instance, attempt, self._lease.answered_ms)
-
     def _drop_starts_if_renamed(self, previous, instance):
         """Drop the remaining attempts if the new worker has another name.
 
