Offer room that an owner has declined to the next one

Cause: an owner that is offered freed room and has nothing left to place doesn't answer, so that the room stays idle until the next announcement, 10 ms for each owner.

Change: where entries coordinate, an entry that receives room which it now needs more than 20 ms later than its agent was told answers with a Beat after the next round. The agent offers the room to the owner that needs it soonest among those that it has not offered the present room to. The set is cleared with each end of an attempt, so that an offer is declined at most once by each owner. Without coordination nothing changes.

The agent and the stand-in site share the handling of a Beat. The attempts that an entry awaits move from the dispatcher to `fleet.Worker`.

--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -182,7 +182,7 @@
         elif isinstance(body, contract.Halt):
             self.runner.halt(owner, body)
         elif isinstance(body, contract.Beat):
-            owner.note_beat(body, entry_link.last_received_ms)
+            self.announcer.on_beat(owner, body)
 
     def room(self):
         """Build the room message for the entries."""
@@ -266,11 +266,13 @@
             "agent", name, f"{name}.{self._incarnation_count}", zone
         )
         node = Node(identity, worker, None, {}, None, None)
+        node_metrics = metrics.open_metrics()
         node.announcer = announcer.new_announcer(
             self.clock,
             node.owners,
             node.room,
             lambda: self.options.coordinates(len(self.entries)),
+            node_metrics,
         )
         node.runner = runner.Runner(
             worker,
@@ -278,7 +280,7 @@
             runner.Limits(worker.hold_ms, RESUBMIT_DELAY_MS, REPORT_VALID_MS),
             lambda: False,
             node.announcer,
-            metrics.open_metrics(),
+            node_metrics,
         )
         node.task = self.loop.create_task(node.runner.run())
         return node
--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -42,6 +42,8 @@
     CRASHED = "workers_crashed"
     MESSAGES = "stream_messages"
     SENT = "stream_messages_sent"
+    OFFERED = "room_offers"
+    DECLINED = "room_declines"
 
 
 class Gauge(enum.StrEnum):
@@ -73,6 +75,14 @@
         "Stream messages received, by type, and whether they were needed or wasted.",
     ),
     Counter.SENT: (("type",), "Stream messages sent, by type."),
+    Counter.OFFERED: (
+        ("cause",),
+        "Offers of free room to one entry before the others, by cause.",
+    ),
+    Counter.DECLINED: (
+        (),
+        "Answers to agents whose free room this entry needs later than announced.",
+    ),
 }
 _GAUGES = {
     Gauge.QUEUE: "Tasks that wait for a slot.",
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -48,7 +48,7 @@
         # The addresses of the entries that other agents serve.
         self._unwanted_addresses = frozenset()
         self._announcer = announcer.new_announcer(
-            clock, self._owners, self._describe_room, self._coordinates
+            clock, self._owners, self._describe_room, self._coordinates, self._metrics
         )
         self._runner = runner.Runner(
             self._worker_client,
@@ -127,7 +127,7 @@
 
     def _handle_beat(self, owner, beat):
         is_news = beat.configuration > self._newest_configuration()
-        owner.note_beat(beat, self._clock.now_ms())
+        self._announcer.on_beat(owner, beat)
         if is_news:
             # Owners that can't read the store learn that there is a newer one.
             self._announcer.on_state_change()
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -10,7 +10,8 @@
 import asyncio
 
 from jujubeglade.core import clock
-from jujubeglade.direct import contract, sharing
+from jujubeglade.core import metrics as metrics_
+from jujubeglade.direct import contract, offers, policy, sharing
 
 #: Changes of the worker's state within this time are sent in one message.
 _STATE_INTERVAL_MS = 2
@@ -24,14 +25,17 @@
     __slots__ = (
         "_clock",
         "_coordinates",
+        "_choose",
         "_describe",
         "_due_ms",
+        "_metrics",
+        "_offered",
         "_owners",
         "_timer",
         "_sent_ms",
     )
 
-    def __init__(self, clock, owners, describe, coordinates):
+    def __init__(self, clock, owners, describe, coordinates, metrics):
         """Create an announcer with nothing to send.
 
         Args:
@@ -40,8 +44,13 @@
           describe: A function without arguments that returns the Room.
           coordinates: A function without arguments that returns whether the entries
             coordinate how they use scarce room.
+          metrics: A Metrics.
         """
         self._coordinates = coordinates
+        self._metrics = metrics
+        self._choose = policy.find("offers", "soonest_need")
+        # The incarnations of the owners that the present room was offered to.
+        self._offered = set()
         self._clock = clock
         self._owners = owners
         self._describe = describe
@@ -73,10 +82,41 @@
         """
         reachable = [other for other in self._owners.values() if other.link.is_open]
         first = sharing.most_urgent_owner(owner, reachable)
+        self._offered = {first.identity.incarnation}
         if first is not owner:
             self.send_room(first)
         return first
 
+    def on_beat(self, owner, beat):
+        """Handle a Beat, and offer the room that its owner has left to another one.
+
+        Args:
+          owner: An Owner.
+          beat: A Beat.
+        """
+        needed_by_ms = owner.room_needed_by_ms
+        owner.note_beat(beat, self._clock.now_ms())
+        if owner.room_needed_by_ms > needed_by_ms and self._coordinates():
+            self._pass_on("declined")
+
+    def _pass_on(self, cause):
+        """Offer the free room to the next owner that waits for room."""
+        room = self._describe()
+        if not room.accepting or not room.free.cpu:
+            return
+        need = self._choose(
+            offers.Need(
+                incarnation, owner.room_needed_by_ms, incarnation in self._offered
+            )
+            for incarnation, owner in self._owners.items()
+            if owner.link.is_open
+        )
+        if need is None:
+            return
+        self._offered.add(need.owner)
+        self._metrics.count(metrics_.Counter.OFFERED, cause)
+        self._owners[need.owner].send_room(room)
+
     def send_heartbeats(self):
         """Send the room to all owners, unless that was done within the interval."""
         if self._clock.now_ms() - self._sent_ms >= contract.HEARTBEAT_INTERVAL_MS:
@@ -122,7 +162,7 @@
                 owner.send_room(room)
 
 
-def new_announcer(clock, owners, describe, coordinates):
+def new_announcer(clock, owners, describe, coordinates, metrics):
     """Make the announcer of an agent.
 
     Args:
@@ -131,8 +171,9 @@
       describe: A function without arguments that returns the Room.
       coordinates: A function without arguments that returns whether the entries
         coordinate how they use scarce room.
+      metrics: A Metrics.
 
     Returns:
       An Announcer.
     """
-    return Announcer(clock, owners, describe, coordinates)
+    return Announcer(clock, owners, describe, coordinates, metrics)
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -85,7 +85,7 @@
             clock, self._fleet, zone, cluster_state, self
         )
         self._heartbeats = heartbeats.Heartbeats(
-            clock, self._fleet, cluster_state, self._scheduler
+            clock, self._fleet, cluster_state, self._scheduler, options, metrics
         )
         self._jobs = {}
         self._suspicions = suspicion.new_suspicions()
@@ -232,7 +232,7 @@
 
     def on_round(self):
         """Announce the time by which room is needed, if it has changed."""
-        self._heartbeats.announce_need()
+        self._heartbeats.on_round()
 
     def tick(self):
         """Remove workers that are gone, and offer waiting tasks to all workers."""
@@ -360,6 +360,7 @@
         self._fleet.update_room(worker, room, self._clock.now_ms())
         worker.views.send_newer(self._cluster_state, worker.link)
         self._scheduler.refresh(worker)
+        self._heartbeats.on_room(worker)
 
     def _handle_refused(self, worker, refused):
         task = self._release_current(worker, refused.task, refused.run)
@@ -430,7 +431,7 @@
             if (ended.task, ended.run) not in listed:
                 self._handle_ended(worker, ended)
         assigned = {(task.name, task.run) for task in worker.assigned_tasks.values()}
-        unwanted = listed - _awaited(worker)
+        unwanted = listed - worker.awaited_attempts
         _log.info(
             "roster received",
             worker=worker.identity.name,
@@ -570,19 +571,6 @@
         )
 
 
-def _awaited(worker):
-    """Return the attempts on a worker whose end an open job waits for.
-
-    Returns:
-      A set of pairs of a TaskName and a run.
-    """
-    return {
-        (task.name, task.run)
-        for task in worker.assigned_tasks.values()
-        if not task.job.answer.done()
-    }
-
-
 def _crash_reason(task):
     """Return why a job is given up, as a text for its client and the log."""
     return f"workers crashed under task {task.name}"
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -4,6 +4,8 @@
 view of its room is the agent's last report less what the entry has sent since.
 """
 
+import math
+
 from jujubeglade.direct import contract, health, job, peer_views
 
 #: An agent that lost its link stops what it ran for this entry after
@@ -35,6 +37,7 @@
         "_seen_ms",
         "_unreported_needs",
         "_unreported_suspect",
+        "announced_need_ms",
         "health",
         "assigned_tasks",
         "identity",
@@ -60,6 +63,8 @@
         self.lost_ms = None
         #: When the room was received, on the monotonic clock.
         self.room_received_ms = 0.0
+        #: By when this entry needs room, as the agent was last told.
+        self.announced_need_ms = math.inf
         #: The PeerViews of the link.
         self.views = peer_views.PeerViews()
         self._last_begin = 0
@@ -115,6 +120,19 @@
         """Return whether a suspect may be sent; one at a time is on probation."""
         return not self._room.on_probation and not self._unreported_suspect
 
+    @property
+    def awaited_attempts(self):
+        """Return the attempts here whose end an open job waits for.
+
+        Returns:
+          A set of pairs of a TaskName and a run.
+        """
+        return {
+            (task.name, task.run)
+            for task in self.assigned_tasks.values()
+            if not task.job.answer.done()
+        }
+
     def is_quiet(self, now_ms):
         """Return whether the agent's heartbeats are overdue, so that it may be lost.
 
@@ -140,6 +158,7 @@
         """
         self._link = link
         self.lost_ms = None
+        self.announced_need_ms = math.inf
         self.views = peer_views.PeerViews()
         self._last_begin = 0
         self._unreported_needs.clear()
--- a/packages/dispatch/src/jujubeglade/direct/heartbeats.py
+++ b/packages/dispatch/src/jujubeglade/direct/heartbeats.py
@@ -10,12 +10,16 @@
 import math
 
 from jujubeglade.core import message
+from jujubeglade.core import metrics as metrics_
 from jujubeglade.direct import contract, job
 
 #: The shortest time between two announcements of when room is needed.
 _MIN_NEED_INTERVAL_MS = 10
 #: The same for each agent to which it is announced.
 _NEED_INTERVAL_PER_AGENT_MS = 1
+#: An agent isn't told of a need that is later by less than this: the order of entries
+#: hardly changes by it.
+_DECLINE_MARGIN_MS = 20
 
 
 class Heartbeats:
@@ -26,11 +30,14 @@
         "_clock",
         "_cluster_state",
         "_fleet",
+        "_metrics",
+        "_options",
         "_scheduler",
         "_sent_ms",
+        "_unanswered",
     )
 
-    def __init__(self, clock, fleet, cluster_state, scheduler):
+    def __init__(self, clock, fleet, cluster_state, scheduler, options, metrics):
         """Prepare to send; nothing has been sent yet.
 
         Args:
@@ -38,7 +45,11 @@
           fleet: A Fleet.
           cluster_state: A ClusterState.
           scheduler: The Scheduler, with `room_needed_by_ms()`.
+          options: An Options.
+          metrics: A Metrics.
         """
+        self._options = options
+        self._metrics = metrics
         self._clock = clock
         self._fleet = fleet
         self._cluster_state = cluster_state
@@ -47,12 +58,15 @@
         # was last sent to all agents.
         self._announced_need_ms = math.inf
         self._sent_ms = 0.0
+        # The workers whose room has arrived since the last round.
+        self._unanswered = {}
 
     def send(self):
         """Send each agent a heartbeat with the time of a Room of its own."""
         heartbeat = self._heartbeat()
         self._note_sent(heartbeat)
         for worker in self._fleet:
+            worker.announced_need_ms = self._announced_need_ms
             worker.link.send(self._with_own_fields(heartbeat, worker))
 
     def send_to(self, worker):
@@ -61,8 +75,38 @@
         Args:
           worker: A Worker.
         """
+        worker.announced_need_ms = self._scheduler.room_needed_by_ms()
         worker.link.send(self._with_own_fields(self._heartbeat(), worker))
 
+    def on_room(self, worker):
+        """Answer the Room of an agent, unless a round decides first whether to use it.
+
+        Args:
+          worker: A Worker.
+        """
+        if worker.room.free.cpu and self._coordinates():
+            self._unanswered[worker] = None
+            if self._scheduler.room_needed_by_ms() == math.inf:
+                self._decline()
+
+    def on_round(self):
+        """Announce by when room is needed, after waiting tasks have been sent."""
+        self._decline()
+        self.announce_need()
+
+    def _coordinates(self):
+        entries = len(self._cluster_state.members.addresses)
+        return self._options.coordinates(entries)
+
+    def _decline(self):
+        """Tell agents whose room has arrived that it is needed later than they know."""
+        needed_by_ms = self._scheduler.room_needed_by_ms()
+        for worker in self._unanswered:
+            if needed_by_ms - worker.announced_need_ms > _DECLINE_MARGIN_MS:
+                self._metrics.count(metrics_.Counter.DECLINED)
+                self.send_to(worker)
+        self._unanswered.clear()
+
     def announce_need(self):
         """Tell all agents by when room is needed, if it has changed."""
         if self._scheduler.room_needed_by_ms() == self._announced_need_ms:
@@ -76,6 +120,7 @@
         self._note_sent(heartbeat)
         encoded = message.encode(heartbeat)
         for worker in self._fleet:
+            worker.announced_need_ms = self._announced_need_ms
             worker.link.send(heartbeat, encoded)
 
     def _note_sent(self, heartbeat):
