Show scarce room to few entries, and tell agents of urgent need in turn

Cause: every announcement of room reaches all entries at once, so that all send to the same free cores; and a need reaches the agents only at an interval of 1 ms for each, while an urgent job can wait for some tens of ms.

Change, where entries coordinate: an agent holds freed room for the owner that needs it soonest for 10 ms and shows others what is left; if the owner neither takes nor declines it, the next one is offered it. Room that no one waits for is divided into shares of two mean tasks, which owners are shown in turn, when it is too little for all. An entry tells ten agents at a time of a sooner need, at most every 10 ms, the same bound of the rate as before, and no longer counts on room that it was offered and has not used. A line `room offered` at most once a second and two counters show it. An agent admits attempts by the room of its worker alone, as before.

Evidence: 12 entries that share 12 workers answer more checks in time with fewer refused starts (features/offers.feature).

--- /dev/null
+++ b/features/offers.feature
@@ -0,0 +1,122 @@
+Feature: Scarce room goes to the entries that need it soonest
+
+  The agent's announcer is real, its links are fakes, and time is virtual. Needs are
+  written OWNER:MS; an owner without one needs no room. Offers count as such only where
+  the entries coordinate.
+
+  Scenario: Room that an owner declines is offered to the next owner at once
+    Given an agent with 8000 free of owners a:50 b:200 c:400 d
+    When an attempt of d ends
+    Then the agent has shown room to a
+    When a declines
+    Then the agent has shown room to a b
+    When b declines
+    Then the agent has shown room to a b c
+
+  Scenario: Without coordination, declined room waits for the next announcement
+    Given an agent that doesn't coordinate with 8000 free of owners a:50 b:200 c:400 d
+    When an attempt of d ends
+    And a declines
+    Then the agent has shown room to a
+    When 50 ms go by at the agent
+    Then the agent has shown room to a a b c d
+
+  Scenario: Room offered to an owner that never answers goes to the next one
+    Given an agent with 8000 free of owners a:50 b:200 c:400 d
+    When an attempt of d ends
+    And 8 ms go by at the agent
+    Then the agent has shown room to a
+    When 4 ms go by at the agent
+    Then the agent has shown room to a b
+    When 10 ms go by at the agent
+    Then the agent has shown room to a b c
+
+  Scenario: Room offered to an owner that dies goes to the next one
+    Given an agent with 8000 free of owners a:50 b:200 c:400 d
+    When an attempt of d ends
+    And the link of a closes
+    And 12 ms go by at the agent
+    Then the agent has shown room to a b
+
+  Scenario: Owners that decline in turn are asked once for each freed room
+    Given an agent with 8000 free of owners a:50 b:200 d
+    When an attempt of d ends
+    And a declines
+    And b declines
+    And a needs room by 60 ms
+    And a declines
+    And 20 ms go by at the agent
+    Then the agent has shown room to a b
+
+  Scenario: An owner of the build before, which doesn't decline, keeps no room idle
+    Given an agent with 8000 free of owners a:50 d
+    When an attempt of d ends
+    And 200 ms go by at the agent
+    Then the agent has last shown room to each of a d
+
+  Scenario: Room that is held for one owner isn't shown to another one
+    Given an agent with 8000 free of owners a:50 b:200 d
+    When an attempt of d ends
+    And the agent refuses an attempt of b
+    Then the agent has shown room to a
+    When a declines
+    Then the agent has shown room to a b
+
+  Scenario: A new need gets free room without waiting for an announcement
+    Given an agent with 8000 free of owners a b c d
+    When b needs room by 30 ms
+    Then the agent has shown room to b
+
+  Scenario Outline: Room is divided when it is less than all owners might take
+    Then of <free> free and tasks of <task> on average, <owners> owners are shown <shares> shares
+
+    Examples:
+      | free  | task | owners | shares |
+      | 16000 | 1600 | 12     | 5      |
+      | 48000 | 1600 | 12     | 12     |
+      | 900   | 1600 | 12     | 1      |
+      | 16000 | 0    | 12     | 12     |
+
+  Scenario: Owners get shares of scarce room in turn
+    Given an agent with 6400 free of owners a b c d
+    And tasks of 1600 on average
+    When 45 ms go by after a change of the room
+    Then the agent has shown room to a b
+    When 45 ms go by after a change of the room
+    Then the agent has shown room to a b c d
+
+  Scenario Outline: An entry answers room that it needs later than its agent knows
+    Given an entry whose agent knows a need by <known> ms
+    When its need is by <present> ms and it receives <free> free
+    Then it sends its agent <beats> heartbeats
+
+    Examples:
+      | known | present | free | beats |
+      | 50    | inf     | 8000 | 1     |
+      | 50    | 200     | 8000 | 1     |
+      | 50    | 60      | 8000 | 0     |
+      | 50    | inf     | 0    | 0     |
+      | inf   | inf     | 8000 | 0     |
+
+  Scenario: An entry with urgent work tells some agents at once
+    Given an entry with 34 agents, which know of no need
+    When its need is by 30 ms and a round ends
+    Then it sends its agents 10 heartbeats
+    When its need is by 30 ms and a round ends
+    Then it sends its agents 10 heartbeats
+
+  Scenario: Callers of competing entries are served better where these coordinate
+    When 12 entries compete for 12 workers, with and without coordination
+    Then coordination raises the share in time of checks by at least 0.05
+    And it lowers the share of starts that are refused for room by at least 0.1
+    And it sends at most 1.1 times the messages
+    And no worker recorded a violation
+
+  Scenario Outline: Below the threshold an agent and its entries send the same messages
+    When 4 entries that coordinate from <threshold> on share a worker
+    Then they send <messages> messages as without coordination
+
+    Examples:
+      | threshold | messages      |
+      | 5         | the same      |
+      | 4         | not the same  |
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -5,13 +5,14 @@
 itself; the starts and ends of other owners' attempts are announced at an interval that
 grows with the number of owners, so that the message rate of an agent does not. An owner
 whose attempt was refused has an outdated view and gets the room with the refusal.
+
+Where entries coordinate, `offers` decides how much of the room an owner is shown.
 """
 
 import asyncio
 
 from jujubeglade.core import clock
-from jujubeglade.core import metrics as metrics_
-from jujubeglade.direct import contract, offers, policy, sharing
+from jujubeglade.direct import contract, offers, sharing
 
 #: Changes of the worker's state within this time are sent in one message.
 _STATE_INTERVAL_MS = 2
@@ -25,11 +26,9 @@
     __slots__ = (
         "_clock",
         "_coordinates",
-        "_choose",
         "_describe",
         "_due_ms",
-        "_metrics",
-        "_offered",
+        "_offers",
         "_owners",
         "_timer",
         "_sent_ms",
@@ -47,10 +46,7 @@
           metrics: A Metrics.
         """
         self._coordinates = coordinates
-        self._metrics = metrics
-        self._choose = policy.find("offers", "soonest_need")
-        # The incarnations of the owners that the present room was offered to.
-        self._offered = set()
+        self._offers = offers.Offers(clock, owners, describe, metrics)
         self._clock = clock
         self._owners = owners
         self._describe = describe
@@ -82,40 +78,23 @@
         """
         reachable = [other for other in self._owners.values() if other.link.is_open]
         first = sharing.most_urgent_owner(owner, reachable)
-        self._offered = {first.identity.incarnation}
+        if self._coordinates():
+            self._offers.on_freed(first)
         if first is not owner:
             self.send_room(first)
         return first
 
     def on_beat(self, owner, beat):
-        """Handle a Beat, and offer the room that its owner has left to another one.
+        """Handle a Beat, and offer free room to another owner if that is due.
 
         Args:
           owner: An Owner.
           beat: A Beat.
         """
-        needed_by_ms = owner.room_needed_by_ms
+        earlier_ms = owner.room_needed_by_ms
         owner.note_beat(beat, self._clock.now_ms())
-        if owner.room_needed_by_ms > needed_by_ms and self._coordinates():
-            self._pass_on("declined")
-
-    def _pass_on(self, cause):
-        """Offer the free room to the next owner that waits for room."""
-        room = self._describe()
-        if not room.accepting or not room.free.cpu:
-            return
-        need = self._choose(
-            offers.Need(
-                incarnation, owner.room_needed_by_ms, incarnation in self._offered
-            )
-            for incarnation, owner in self._owners.items()
-            if owner.link.is_open
-        )
-        if need is None:
-            return
-        self._offered.add(need.owner)
-        self._metrics.count(metrics_.Counter.OFFERED, cause)
-        self._owners[need.owner].send_room(room)
+        if self._coordinates():
+            self._offers.on_need(owner, earlier_ms)
 
     def send_heartbeats(self):
         """Send the room to all owners, unless that was done within the interval."""
@@ -129,7 +108,10 @@
           owner: An Owner.
         """
         if owner.link.is_open:
-            owner.send_room(self._describe())
+            room = self._describe()
+            if self._coordinates():
+                room = self._offers.shown(owner, room)
+            owner.send_room(room)
 
     def send_to_all(self, body):
         """Send a message to all owners that can be reached.
@@ -157,9 +139,12 @@
             self._timer = None
         self._sent_ms = self._clock.now_ms()
         room = self._describe()
-        for owner in self._owners.values():
+        rooms = ((owner, room) for owner in self._owners.values())
+        if self._coordinates():
+            rooms = self._offers.announced(room)
+        for owner, visible in rooms:
             if owner.link.is_open:
-                owner.send_room(room)
+                owner.send_room(visible)
 
 
 def new_announcer(clock, owners, describe, coordinates, metrics):
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -192,6 +192,10 @@
             free = free.minus(needs)
         self._free = free
 
+    def forfeit(self):
+        """Leave the room that was offered to other entries."""
+        self._free = job.NOTHING
+
     def note_ended(self, needs):
         """Count the resources of an ended attempt of this entry as free.
 
--- a/packages/dispatch/src/jujubeglade/direct/heartbeats.py
+++ b/packages/dispatch/src/jujubeglade/direct/heartbeats.py
@@ -17,9 +17,12 @@
 _MIN_NEED_INTERVAL_MS = 10
 #: The same for each agent to which it is announced.
 _NEED_INTERVAL_PER_AGENT_MS = 1
-#: An agent isn't told of a need that is later by less than this: the order of entries
+#: Where entries coordinate, as many agents as this are told at a time, which is no more
+#: messages than telling all of them at their interval.
+_SAMPLED_AGENTS = _MIN_NEED_INTERVAL_MS // _NEED_INTERVAL_PER_AGENT_MS
+#: An agent isn't told of a need that differs by less than this: the order of entries
 #: hardly changes by it.
-_DECLINE_MARGIN_MS = 20
+_NEED_MARGIN_MS = 20
 
 
 class Heartbeats:
@@ -33,6 +36,7 @@
         "_metrics",
         "_options",
         "_scheduler",
+        "_sampled_ms",
         "_sent_ms",
         "_unanswered",
     )
@@ -58,6 +62,7 @@
         # was last sent to all agents.
         self._announced_need_ms = math.inf
         self._sent_ms = 0.0
+        self._sampled_ms = 0.0
         # The workers whose room has arrived since the last round.
         self._unanswered = {}
 
@@ -99,16 +104,26 @@
         return self._options.coordinates(entries)
 
     def _decline(self):
-        """Tell agents whose room has arrived that it is needed later than they know."""
+        """Leave room that this entry has received and not used to other entries.
+
+        An agent that knows a sooner need than the present one is told. One whose room
+        suits none of the waiting tasks offers it to others without being told; what a
+        later task needs is offered again.
+        """
         needed_by_ms = self._scheduler.room_needed_by_ms()
         for worker in self._unanswered:
-            if needed_by_ms - worker.announced_need_ms > _DECLINE_MARGIN_MS:
+            if needed_by_ms - worker.announced_need_ms > _NEED_MARGIN_MS:
                 self._metrics.count(metrics_.Counter.DECLINED)
                 self.send_to(worker)
+            if worker.announced_need_ms < math.inf:
+                worker.forfeit()
         self._unanswered.clear()
 
     def announce_need(self):
-        """Tell all agents by when room is needed, if it has changed."""
+        """Tell agents by when room is needed, if it has changed."""
+        if self._coordinates():
+            self._announce_to_some()
+            return
         if self._scheduler.room_needed_by_ms() == self._announced_need_ms:
             return
         interval_ms = max(
@@ -123,6 +138,32 @@
             worker.announced_need_ms = self._announced_need_ms
             worker.link.send(heartbeat, encoded)
 
+    def _announce_to_some(self):
+        """Tell some agents that room is needed sooner than they know.
+
+        Urgent work can't wait until it is the turn of all agents. Those that are told
+        are the ones that have the latest need on record.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._sampled_ms < _MIN_NEED_INTERVAL_MS:
+            return
+        needed_by_ms = self._scheduler.room_needed_by_ms()
+        outdated = [
+            worker
+            for worker in self._fleet
+            if worker.is_accepting
+            and worker.announced_need_ms - needed_by_ms > _NEED_MARGIN_MS
+        ]
+        if not outdated:
+            return
+        self._sampled_ms = now_ms
+        outdated.sort(key=lambda worker: -worker.announced_need_ms)
+        heartbeat = self._heartbeat()
+        encoded = message.encode(heartbeat)
+        for worker in outdated[:_SAMPLED_AGENTS]:
+            worker.announced_need_ms = needed_by_ms
+            worker.link.send(heartbeat, encoded)
+
     def _note_sent(self, heartbeat):
         self._sent_ms = self._clock.now_ms()
         self._announced_need_ms = self._sent_ms + heartbeat.slack_ms
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -9,10 +9,24 @@
 The decision is made by the agent for its own worker; see docs/design/offers.md.
 """
 
+import asyncio
 import dataclasses
 import math
 
-from jujubeglade.direct import policy
+from jujubeglade.core import clock, log
+from jujubeglade.core import metrics as metrics_
+from jujubeglade.direct import job, policy
+
+#: An entry answers an offer within this time, or the room is offered to the next one:
+#: a round trip between zones and a round of its scheduler.
+_ANSWER_MS = 10
+#: An owner that is shown a part of the free room is shown as much as this many of its
+#: tasks need, as sizes vary and a task can't use half of its needs.
+_TASKS_PER_SHARE = 2
+#: Offers are logged at most once in this time by an agent.
+_LOG_INTERVAL_MS = 1000
+
+_log = log.get(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,3 +64,217 @@
 @policy.choice("offers", "none")
 def none(needs):
     """Offer left room to no owner, so that it is announced later: the baseline."""
+
+
+def count_shares(free_cpu, task_cpu, owners):
+    """Return to how many owners free room is shown at a time.
+
+    Args:
+      free_cpu: A number, the free thousandths of a core.
+      task_cpu: A number, what a task needs on average; 0 if that isn't known.
+      owners: An integer, the number of owners.
+
+    Returns:
+      An integer from 1 to `owners`.
+    """
+    if not task_cpu:
+        return owners
+    return min(owners, max(1, int(free_cpu // (_TASKS_PER_SHARE * task_cpu))))
+
+
+class Offers:
+    """The room of one worker that is offered to some owners and not to others.
+
+    All of it is soft state: a Begin is admitted by the worker's room alone, whether or
+    not that room was offered to its owner.
+    """
+
+    __slots__ = (
+        "_choose",
+        "_clock",
+        "_describe",
+        "_logged_ms",
+        "_metrics",
+        "_offered",
+        "_owners",
+        "_timer",
+        "_turn",
+        "_unlogged",
+        "_viewers",
+    )
+
+    def __init__(self, clock, owners, describe, metrics):
+        """Create offers, none of which is open.
+
+        Args:
+          clock: A Clock.
+          owners: A dict of Owners by incarnation.
+          describe: A function without arguments that returns the Room.
+          metrics: A Metrics.
+        """
+        self._clock = clock
+        self._owners = owners
+        self._describe = describe
+        self._metrics = metrics
+        self._choose = policy.find("offers", "soonest_need")
+        # The incarnations of the owners that the present room was offered to.
+        self._offered = set()
+        # The incarnations of those that were shown a share; None if all see all.
+        self._viewers = None
+        # The number of shares shown so far, so that owners get them in turn.
+        self._turn = 0
+        # Fires when the last offer has not been answered.
+        self._timer = None
+        self._logged_ms = -math.inf
+        self._unlogged = 0
+
+    def on_freed(self, first):
+        """Open an offer of room that an ended attempt has freed.
+
+        Args:
+          first: An Owner, that which needs the room soonest.
+        """
+        self._offered.clear()
+        self._open(first, "freed")
+
+    def on_need(self, owner, earlier_ms):
+        """Offer free room after an owner has told of its need.
+
+        Args:
+          owner: An Owner.
+          earlier_ms: A number, by when it needed room before.
+        """
+        if owner.room_needed_by_ms > earlier_ms:
+            if owner.identity.incarnation in self._offered:
+                owner.offered_until_ms = 0.0
+                self._pass_on("declined")
+        elif owner.room_needed_by_ms < earlier_ms and self._timer is None:
+            self._pass_on("needed")
+
+    def announced(self, room):
+        """Choose what each owner is shown at an announcement.
+
+        Args:
+          room: A Room, with all free resources of the worker.
+
+        Returns:
+          A list of pairs of an Owner and a Room.
+        """
+        self._divide(room.free.cpu)
+        is_claimed = self._is_claimed()
+        return [
+            (owner, self._visible(owner, room, is_claimed))
+            for owner in self._owners.values()
+        ]
+
+    def shown(self, owner, room):
+        """Return the room as one owner is shown it.
+
+        Args:
+          owner: An Owner.
+          room: A Room, with all free resources of the worker.
+
+        Returns:
+          A Room.
+        """
+        return self._visible(owner, room, self._is_claimed())
+
+    def _divide(self, free_cpu):
+        """Choose the owners that are shown a share of room that none waits for."""
+        count = count_shares(free_cpu, self._task_cpu(), len(self._owners))
+        if count >= len(self._owners):
+            self._viewers = None
+            return
+        names = list(self._owners)
+        self._viewers = {
+            names[(self._turn + index) % len(names)] for index in range(count)
+        }
+        self._turn += count
+
+    def _is_claimed(self):
+        """Return whether an owner waits that the present room was not offered to."""
+        return self._choose(self._needs()) is not None
+
+    def _visible(self, owner, room, is_claimed):
+        free = self._visible_free(owner, room.free, is_claimed)
+        return dataclasses.replace(room, free=free)
+
+    def _visible_free(self, owner, free, is_claimed):
+        is_offered = self._is_open(owner)
+        left = free.minus(self._held_from(owner))
+        if left.cpu <= 0 or (is_claimed and not is_offered):
+            return job.NOTHING
+        if is_offered or self._viewers is None:
+            return left
+        if owner.identity.incarnation not in self._viewers:
+            return job.NOTHING
+        return dataclasses.replace(left, cpu=left.cpu // len(self._viewers))
+
+    def _is_open(self, owner):
+        return self._clock.now_ms() < owner.offered_until_ms
+
+    def _held_from(self, owner):
+        """Return the room that is offered to others than an owner."""
+        held = job.NOTHING
+        for other in self._owners.values():
+            if other is not owner and self._is_open(other):
+                held = held.plus(other.offered)
+        return held
+
+    def _open(self, owner, cause):
+        free = self._describe().free
+        self._offered.add(owner.identity.incarnation)
+        owner.offered = free.minus(self._held_from(owner)).maximum(job.NOTHING)
+        owner.offered_until_ms = self._clock.now_ms() + _ANSWER_MS
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(clock.seconds(_ANSWER_MS), self._on_unanswered)
+        self._metrics.count(metrics_.Counter.OFFERED, cause)
+
+    def _on_unanswered(self):
+        self._timer = None
+        self._pass_on("unanswered")
+
+    def _pass_on(self, cause):
+        """Offer the free room to the next owner that waits for room."""
+        room = self._describe()
+        need = self._choose(self._needs())
+        if need is None or not room.accepting:
+            return
+        owner = self._owners[need.owner]
+        if room.free.minus(self._held_from(owner)).cpu <= 0:
+            return
+        self._open(owner, cause)
+        self._log_offer(owner, cause, room)
+        owner.send_room(self.shown(owner, room))
+
+    def _log_offer(self, owner, cause, room):
+        now_ms = self._clock.now_ms()
+        self._unlogged += 1
+        if now_ms - self._logged_ms < _LOG_INTERVAL_MS:
+            return
+        _log.info(
+            "room offered",
+            owner=owner.identity.name,
+            cause=cause,
+            free_cpu=room.free.cpu,
+            offered_cpu=owner.offered.cpu,
+            slack_ms=int(owner.room_needed_by_ms - now_ms),
+            beat_age_ms=int(now_ms - owner.need_received_ms),
+            asked=len(self._offered),
+            since_last=self._unlogged,
+        )
+        self._logged_ms = now_ms
+        self._unlogged = 0
+
+    def _needs(self):
+        return [
+            Need(incarnation, owner.room_needed_by_ms, incarnation in self._offered)
+            for incarnation, owner in self._owners.items()
+            if owner.link.is_open and not owner.is_retiring
+        ]
+
+    def _task_cpu(self):
+        known = [owner.task_cpu for owner in self._owners.values() if owner.task_cpu]
+        return sum(known) / len(known) if known else 0
--- a/packages/dispatch/src/jujubeglade/direct/owners.py
+++ b/packages/dispatch/src/jujubeglade/direct/owners.py
@@ -24,6 +24,8 @@
 _MAX_ECHO_AGE_MS = 900
 #: How long a link stays open at least once its owner is left to other agents.
 _RETIREMENT_MS = 1000
+#: The weight of one task in the average of what an owner's tasks need.
+_TASK_WEIGHT = 0.1
 
 _log = log.get(__name__)
 
@@ -44,8 +46,12 @@
         "address",
         "configuration_revision",
         "retiring_since_ms",
+        "need_received_ms",
+        "offered",
+        "offered_until_ms",
         "room_needed_by_ms",
         "silence_ms",
+        "task_cpu",
         "views",
     )
 
@@ -74,6 +80,14 @@
         self.configuration_revision = 0
         #: By when it needs room, on the monotonic clock; infinite if it needs none.
         self.room_needed_by_ms = math.inf
+        #: When its last Beat arrived, on the monotonic clock.
+        self.need_received_ms = now_ms
+        #: The free room that it is offered and has not used, and until when the room
+        #: is held for it, on the monotonic clock; see `offers`.
+        self.offered = job.NOTHING
+        self.offered_until_ms = 0.0
+        #: What its tasks need on average, in thousandths of a core; 0 before the first.
+        self.task_cpu = 0
         self._link = link
         self._linked_ms = now_ms
         # Pairs of the time of the last Room sent before, and an Ended.
@@ -141,6 +155,18 @@
             return True
         return now_ms - max(self.alive_ms, self._linked_ms) > _MAX_ECHO_AGE_MS
 
+    def note_begin(self, begin):
+        """Handle a Begin.
+
+        Args:
+          begin: A Begin.
+        """
+        self.last_begin = begin.number
+        difference = begin.needs.cpu - self.task_cpu
+        self.task_cpu += difference * (_TASK_WEIGHT if self.task_cpu else 1)
+        self.offered = self.offered.minus(begin.needs).maximum(job.NOTHING)
+        self.note_echo(begin.echo_ms)
+
     def note_echo(self, echo_ms):
         """Record an echo of a time of this agent.
 
@@ -165,6 +191,7 @@
         self.configuration_revision = beat.configuration
         if beat.service:
             self._largest[beat.service] = beat.largest
+        self.need_received_ms = now_ms
         self.room_needed_by_ms = now_ms + beat.slack_ms
         self.note_echo(beat.echo_ms)
 
--- a/packages/dispatch/src/jujubeglade/direct/runner.py
+++ b/packages/dispatch/src/jujubeglade/direct/runner.py
@@ -281,8 +281,7 @@
           owner: An Owner.
           begin: A Begin.
         """
-        owner.last_begin = begin.number
-        owner.note_echo(begin.echo_ms)
+        owner.note_begin(begin)
         self._admit(owner, begin)
 
     def _admit(self, owner, begin):
