Test that scarce room is offered whole, and what an operator sees of offers

A need that a share would not hold gets all free room; a run of declines is counted by cause and logged in one line.

--- a/features/offers.feature
+++ b/features/offers.feature
@@ -67,6 +67,23 @@
     When b needs room by 30 ms
     Then the agent has shown room to b
 
+  Scenario: A need that a share would not hold is offered all free room
+    Given an agent with 6400 free of owners a b c d
+    And tasks of 1600 on average
+    When 45 ms go by after a change of the room
+    Then the agent has last shown 3200 free to a and 0 free to d
+    When d needs room by 30 ms
+    Then the agent has last shown 3200 free to a and 6400 free to d
+
+  Scenario: An operator sees in metrics and in few lines why room was offered
+    Given an agent with 8000 free of owners a:50 b:200 c:400 d
+    And the log is recorded
+    When 20 attempts of d end, 10 ms apart, and a declines after each
+    Then the agent has counted 20 offers as freed and 20 as declined
+    And the log has 1 line "room offered"
+    And the log has "room offered" with cause "declined"
+    And the log has "room offered" with owner "b"
+
   Scenario Outline: Room is divided when it is less than all owners might take
     Then of <free> free and tasks of <task> on average, <owners> owners are shown <shares> shares
 
--- a/features/steps/offers_steps.py
+++ b/features/steps/offers_steps.py
@@ -54,6 +54,7 @@
 def _open_agent(context, free, needs, coordinates):
     _open_loop(context)
     context.shown = []
+    context.metrics = metrics.open_metrics()
     context.last_room = {}
     context.owners = {}
     context.announcer = announcer.new_announcer(
@@ -61,7 +62,7 @@
         context.owners,
         lambda: _room(free, context.clock.now_ms()),
         lambda: coordinates,
-        metrics.open_metrics(),
+        context.metrics,
     )
     for text in needs.split():
         name, _, need_ms = text.partition(":")
@@ -150,6 +151,38 @@
     assert context.shown == names.split(), context.shown
 
 
+@when(
+    "{count:d} attempts of {name} end, {ms:d} ms apart, and {first} declines after each"
+)
+def step_ends(context, count, name, ms, first):
+    needed_by_ms = context.owners[first].room_needed_by_ms
+    for _ in range(count):
+        _run(context, context.announcer.offer, context.owners[name])
+        step_decline(context, first)
+        context.owners[first].room_needed_by_ms = needed_by_ms
+        step_pass(context, ms - 5)
+
+
+@then("the agent has counted {freed:d} offers as freed and {declined:d} as declined")
+def step_counted(context, freed, declined):
+    body = context.metrics.render()[0].decode()
+    for cause, count in (("freed", freed), ("declined", declined)):
+        line = f'jujubeglade_room_offers_total{{cause="{cause}"}} {count}\n'
+        assert line in body, body
+
+
+@then('the log has {count:d} line "{event}"')
+def step_logged(context, count, event):
+    lines = [record for record in context.log_records if record.msg == event]
+    assert len(lines) == count, lines
+
+
+@then("the agent has last shown {free:d} free to {name} and {other:d} free to {second}")
+def step_last_free(context, free, name, other, second):
+    shown = (context.last_room[name], context.last_room[second])
+    assert shown == (free, other), shown
+
+
 @then("the agent has last shown room to each of {names}")
 def step_last_shown(context, names):
     last = {name for name, free in context.last_room.items() if free}
