--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -5,12 +5,14 @@
 itself; the starts and ends of other owners' attempts are announced at an interval that
 grows with the number of owners, so that the message rate of an agent does not. An owner
 whose attempt was refused has an outdated view and gets the room with the refusal.
+
+Where entries coordinate, `offers` decides how much of the room an owner is shown.
 """
 
 import asyncio
 
 from jujubeglade.core import clock
-from jujubeglade.direct import contract, sharing
+from jujubeglade.direct import contract, offers, sharing
 
 #: Changes of the worker's state within this time are sent in one message.
 _STATE_INTERVAL_MS = 2
@@ -26,12 +28,13 @@
         "_coordinates",
         "_describe",
         "_due_ms",
+        "_offers",
         "_owners",
         "_timer",
         "_sent_ms",
     )
 
-    def __init__(self, clock, owners, describe, coordinates):
+    def __init__(self, clock, owners, describe, coordinates, metrics):
         """Create an announcer with nothing to send.
 
         Args:
@@ -40,8 +43,10 @@
           describe: A function without arguments that returns the Room.
           coordinates: A function without arguments that returns whether the entries
             coordinate how they use scarce room.
+          metrics: A Metrics.
         """
         self._coordinates = coordinates
+        self._offers = offers.Offers(clock, owners, describe, metrics)
         self._clock = clock
         self._owners = owners
         self._describe = describe
@@ -73,10 +78,24 @@
         """
         reachable = [other for other in self._owners.values() if other.link.is_open]
         first = sharing.most_urgent_owner(owner, reachable)
+        if self._coordinates():
+            self._offers.on_freed(first)
         if first is not owner:
             self.send_room(first)
         return first
 
+    def on_beat(self, owner, beat):
+        """Handle a Beat, and offer free room to another owner if that is due.
+
+        Args:
+          owner: An Owner.
+          beat: A Beat.
+        """
+        earlier_ms = owner.room_needed_by_ms
+        owner.note_beat(beat, self._clock.now_ms())
+        if self._coordinates():
+            self._offers.on_need(owner, earlier_ms)
+
     def send_heartbeats(self):
         """Send the room to all owners, unless that was done within the interval."""
         if self._clock.now_ms() - self._sent_ms >= contract.HEARTBEAT_INTERVAL_MS:
@@ -89,7 +108,10 @@
           owner: An Owner.
         """
         if owner.link.is_open:
-            owner.send_room(self._describe())
+            room = self._describe()
+            if self._coordinates():
+                room = self._offers.shown(owner, room)
+            owner.send_room(room)
 
     def send_to_all(self, body):
         """Send a message to all owners that can be reached.
@@ -117,12 +139,15 @@
             self._timer = None
         self._sent_ms = self._clock.now_ms()
         room = self._describe()
-        for owner in self._owners.values():
+        rooms = ((owner, room) for owner in self._owners.values())
+        if self._coordinates():
+            rooms = self._offers.announced(room)
+        for owner, visible in rooms:
             if owner.link.is_open:
-                owner.send_room(room)
+                owner.send_room(visible)
 
 
-def new_announcer(clock, owners, describe, coordinates):
+def new_announcer(clock, owners, describe, coordinates, metrics):
     """Make the announcer of an agent.
 
     Args:
@@ -131,8 +156,9 @@
       describe: A function without arguments that returns the Room.
       coordinates: A function without arguments that returns whether the entries
         coordinate how they use scarce room.
+      metrics: A Metrics.
 
     Returns:
       An Announcer.
     """
-    return Announcer(clock, owners, describe, coordinates)
+    return Announcer(clock, owners, describe, coordinates, metrics)
