--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -77,8 +77,6 @@
         and be in time; infinite when no job waits.
       echo_ms: A number, the `sent_ms` of a Room that the owner received on this link
         some time ago; 0 for none. See `fleet.Worker.echo_ms`.
-      backlog: A tuple of rows (priority, slack_ms, work), what waits at the owner; see
-        `backlog`.
     """
 
     configuration: int
@@ -88,7 +86,6 @@
     largest: job.Resources
     slack_ms: float
     echo_ms: float
-    backlog: tuple = ()
 
 
 @message.register(87)
@@ -106,8 +103,6 @@
       left_ms: A number, the time in ms after which the attempt is too late.
       echo_ms: A number, the `sent_ms` of the last Room received on this link.
       is_suspect: A boolean, whether the task may have crashed a worker before.
-      estimate_ms: A number, its expected run time on this worker at usual speed; 0 when
-        it isn't known.
     """
 
     task: job.TaskName
@@ -120,7 +115,6 @@
     left_ms: float
     echo_ms: float
     is_suspect: bool
-    estimate_ms: float = 0.0
 
 
 @message.register(88)
@@ -157,10 +151,6 @@
         its VM is suspended. The owner echoes it, which proves that it was alive then.
       on_probation: A boolean, whether a suspect has just started, so that no other
         one may start.
-      slowdown: A number, the run times on this worker over the expected ones, as the
-        agent has measured them; 0 when it isn't known.
-      backlog: A tuple of rows (priority, slack_ms, work), what waits at the agent's
-        other owners; see `backlog`.
       withheld_cpu: An integer, the thousandths of a core of `free` that this owner is
         not to use, as others are offered them; see `offers`.
     """
@@ -177,8 +167,6 @@
     members: int
     sent_ms: float
     on_probation: bool
-    slowdown: float = 0.0
-    backlog: tuple = ()
     withheld_cpu: int = 0
 
 
