Offer room that grows without an end to one that waits

An announcement shows free room to nobody while an owner waits that was not offered it. When attempts end that owner is offered the room, but not when a worker accepts attempts again, is resized, or refuses a start: then all owners were shown no room until a sooner need arrived. An announcement without an open offer now opens one.

Evidence: the new scenario fails without the change (no room is shown to anyone after the worker accepts again).

--- a/features/offers.feature
+++ b/features/offers.feature
@@ -164,3 +164,14 @@
       | threshold | messages      |
       | 5         | the same      |
       | 4         | not the same  |
+
+  Scenario: A worker that accepts again is offered to one of those that wait
+    Given an agent with 8000 free of owners a:50 b:200 c d
+    And the worker accepts nothing
+    When a needs room by 40 ms
+    And 200 ms go by after a change of the room
+    And the worker accepts attempts
+    And 5 ms go by after a change of the state
+    Then the agent has shown room to a
+    When 12 ms go by at the agent
+    Then the agent has shown room to a b
--- a/features/steps/offers_steps.py
+++ b/features/steps/offers_steps.py
@@ -56,11 +56,14 @@
     context.shown = []
     context.metrics = metrics.open_metrics()
     context.last_room = {}
+    context.is_accepting = True
     context.owners = {}
     context.announcer = announcer.new_announcer(
         context.clock,
         context.owners,
-        lambda: _room(free, context.clock.now_ms()),
+        lambda: dataclasses.replace(
+            _room(free, context.clock.now_ms()), accepting=context.is_accepting
+        ),
         lambda: coordinates,
         context.metrics,
     )
@@ -87,7 +90,7 @@
 
 def _note_shown(context, name, body):
     context.last_room[name] = body.free.cpu - body.withheld_cpu
-    if context.last_room[name]:
+    if context.last_room[name] and body.accepting:
         context.shown.append(name)
 
 
@@ -109,6 +112,22 @@
         owner.task_cpu = cpu
 
 
+@given("the worker accepts nothing")
+def step_accept_none(context):
+    context.is_accepting = False
+
+
+@when("the worker accepts attempts")
+def step_accept(context):
+    context.is_accepting = True
+
+
+@when("{ms:d} ms go by after a change of the state")
+def step_state(context, ms):
+    _run(context, context.announcer.on_state_change)
+    step_pass(context, ms)
+
+
 @when("an attempt of {name} ends")
 def step_end(context, name):
     _run(context, context.announcer.on_room_change)
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -161,6 +161,10 @@
         Returns:
           A list of pairs of an Owner and a Room.
         """
+        if self._timer is None:
+            # The room may have grown without the end of an attempt, as when the worker
+            # accepts attempts again; it would be shown to none of those that wait.
+            self._open_next("announced", room)
         self._divide(room.free.cpu)
         is_claimed = self._is_claimed()
         return [
@@ -239,17 +243,27 @@
         self._pass_on("unanswered")
 
     def _pass_on(self, cause):
-        """Offer the free room to the next owner that waits for room."""
+        """Send the free room to the next owner that waits for room."""
         room = self._describe()
+        owner = self._open_next(cause, room)
+        if owner is not None:
+            owner.send_room(self.shown(owner, room))
+
+    def _open_next(self, cause, room):
+        """Open an offer to the next owner that waits for room.
+
+        Returns:
+          An Owner; None if no offer is opened.
+        """
         need = self._choose(self._needs())
         if need is None or not room.accepting:
-            return
+            return None
         owner = self._owners[need.owner]
         if room.free.cpu <= self._held_cpu(owner):
-            return
+            return None
         self._open(owner, cause)
         self._log_offer(owner, cause, room)
-        owner.send_room(self.shown(owner, room))
+        return owner
 
     def _log_offer(self, owner, cause, room):
         now_ms = self._clock.now_ms()
