Give shares of scarce room only to owners that can use them

Shares went in turn to all owners, also to those whose link is closed or that other agents serve. Their shares stayed idle until the next announcement.

Evidence: the new scenario fails without the change.

--- a/features/offers.feature
+++ b/features/offers.feature
@@ -175,3 +175,12 @@
     Then the agent has shown room to a
     When 12 ms go by at the agent
     Then the agent has shown room to a b
+
+  Scenario: Shares of scarce room go to owners that can be reached
+    Given an agent with 3200 free of owners a b c d
+    And tasks of 1600 on average
+    And the link of a closes
+    When 45 ms go by after a change of the room
+    Then the agent has shown room to b
+    When 45 ms go by after a change of the room
+    Then the agent has shown room to b c
--- a/features/steps/offers_steps.py
+++ b/features/steps/offers_steps.py
@@ -144,6 +144,7 @@
     _beat(context, name, float(ms))
 
 
+@given("the link of {name} closes")
 @when("the link of {name} closes")
 def step_close(context, name):
     context.owners[name].link.is_open = False
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -186,11 +186,11 @@
 
     def _divide(self, free_cpu):
         """Choose the owners that are shown a share of room that none waits for."""
-        count = count_shares(free_cpu, self._task_cpu(), len(self._owners))
-        if count >= len(self._owners):
+        names = [need.owner for need in self._needs()]
+        count = count_shares(free_cpu, self._task_cpu(), len(names))
+        if count >= len(names):
             self._viewers = None
             return
-        names = list(self._owners)
         self._viewers = {
             names[(self._turn + index) % len(names)] for index in range(count)
         }
