Don't extend an unanswered offer with each ended attempt

An ended attempt opened the offer anew, so an owner that doesn't answer (frozen, of an older build, or waiting with larger tasks) kept room from the others for as long as attempts ended less than 10 ms apart, and until it counted as lost.

--- a/features/offers.feature
+++ b/features/offers.feature
@@ -184,3 +184,11 @@
     Then the agent has shown room to b
     When 45 ms go by after a change of the room
     Then the agent has shown room to b c
+
+  Scenario: An owner that never answers isn't waited for anew with each ended attempt
+    Given an agent with 8000 free of owners a:50 b:200 d
+    When an attempt of d ends
+    And 6 ms go by at the agent
+    And an attempt of d ends
+    And 6 ms go by at the agent
+    Then the agent has shown room to a a b
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -231,12 +231,16 @@
         free_cpu = self._describe().free.cpu
         self._offered.add(owner.identity.incarnation)
         owner.offered_cpu = max(0, free_cpu - self._held_cpu(owner))
-        owner.offered_until_ms = self._clock.now_ms() + _ANSWER_MS
+        self._metrics.count(metrics_.Counter.OFFERED, cause)
         if self._timer is not None:
+            if self._is_open(owner):
+                # An owner that doesn't answer would keep room idle for as long as
+                # attempts end more often than it is waited for.
+                return
             self._timer.cancel()
+        owner.offered_until_ms = self._clock.now_ms() + _ANSWER_MS
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(clock.seconds(_ANSWER_MS), self._on_unanswered)
-        self._metrics.count(metrics_.Counter.OFFERED, cause)
 
     def _on_unanswered(self):
         self._timer = None
