Tell a changed need from a repeated one, and offer room again to a sooner one

Cause: a repeated need that takes 1 ms longer to arrive than the last was taken for a decline.

Change: differences of up to 10 ms are no change; a sooner need makes its owner eligible again.

Evidence: each of the two new scenarios fails without the change.

--- a/features/offers.feature
+++ b/features/offers.feature
@@ -192,3 +192,21 @@
     And an attempt of d ends
     And 6 ms go by at the agent
     Then the agent has shown room to a a b
+
+  Scenario: A repeated need that took longer to arrive is not a decline
+    Given an agent with 8000 free of owners a:50 b:200 d
+    When an attempt of d ends
+    And 4 ms go by at the agent
+    And a needs room by 47 ms
+    Then the agent has shown room to a
+
+  Scenario: An owner that was asked before is offered room for more urgent work
+    Given an agent with 8000 free of owners d x y z a:50 b:200
+    And tasks of 4000 on average
+    When an attempt of d ends
+    And a declines
+    And b declines
+    And 70 ms go by at the agent
+    Then the agent has shown room to a b d
+    When a needs room by 60 ms
+    Then the agent has shown room to a b d a
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -24,6 +24,9 @@
 #: An owner that is shown a part of the free room is shown as much as this many of its
 #: tasks need, as sizes vary and a task can't use half of its needs.
 _TASKS_PER_SHARE = 2
+#: A need that is sooner or later by less than this is the same one: heartbeats repeat
+#: it, and each takes a different time. Entries announce differences above 20 ms.
+_SAME_NEED_MS = 10
 #: Offers are logged at most once in this time by an agent.
 _LOG_INTERVAL_MS = 1000
 
@@ -145,12 +148,15 @@
           owner: An Owner.
           earlier_ms: A number, by when it needed room before.
         """
-        if owner.room_needed_by_ms > earlier_ms:
+        if owner.room_needed_by_ms - earlier_ms > _SAME_NEED_MS:
             if owner.identity.incarnation in self._offered:
                 owner.offered_until_ms = 0.0
                 self._pass_on("declined")
-        elif owner.room_needed_by_ms < earlier_ms and self._timer is None:
-            self._pass_on("needed")
+        elif earlier_ms - owner.room_needed_by_ms > _SAME_NEED_MS:
+            # It was asked for work that could wait longer, or for none.
+            self._offered.discard(owner.identity.incarnation)
+            if self._timer is None:
+                self._pass_on("needed")
 
     def announced(self, room):
         """Choose what each owner is shown at an announcement.
