Withhold nothing of a worker that runs more than it has

Free room is negative while a worker that has shrunk runs too much. Then withheld_cpu was negative, and an entry counted on more than is free.

Evidence: the new scenario fails without the change.

--- a/features/offers.feature
+++ b/features/offers.feature
@@ -210,3 +210,8 @@
     Then the agent has shown room to a b d
     When a needs room by 60 ms
     Then the agent has shown room to a b d a
+
+  Scenario: Nothing is withheld of a worker that has shrunk below what it runs
+    Given an agent with -500 free of owners a:50 d
+    When the agent refuses an attempt of d
+    Then the agent has last shown -500 free to d
--- a/features/steps/offers_steps.py
+++ b/features/steps/offers_steps.py
@@ -203,6 +203,11 @@
     assert shown == (free, other), shown
 
 
+@then("the agent has last shown {free:d} free to {name}")
+def step_last_free_of_one(context, free, name):
+    assert context.last_room[name] == free, context.last_room
+
+
 @then("the agent has last shown room to each of {names}")
 def step_last_shown(context, names):
     last = {name for name, free in context.last_room.items() if free}
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -209,7 +209,9 @@
     def _visible(self, owner, room, is_claimed):
         free_cpu = room.free.cpu
         visible_cpu = self._visible_cpu(owner, free_cpu, is_claimed)
-        return dataclasses.replace(room, withheld_cpu=free_cpu - visible_cpu)
+        # The free room is negative while a worker that has shrunk runs too much.
+        withheld_cpu = max(0, free_cpu - visible_cpu)
+        return dataclasses.replace(room, withheld_cpu=withheld_cpu)
 
     def _visible_cpu(self, owner, free_cpu, is_claimed):
         is_offered = self._is_open(owner)
