--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -114,7 +114,9 @@
         Args:
           needs: A Resources.
         """
-        return self._free.minus(job.Resources(self._withheld_cpu, 0, 0)).covers(needs)
+        # Asked of each worker for each task, so that it creates no objects.
+        usable_cpu = self._free.cpu - self._withheld_cpu
+        return needs.cpu <= usable_cpu and self._free.covers(needs)
 
     @property
     def zone(self):
