--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -24,6 +24,9 @@
 #: An owner that is shown a part of the free room is shown as much as this many of its
 #: tasks need, as sizes vary and a task can't use half of its needs.
 _TASKS_PER_SHARE = 2
+#: A need that is sooner or later by less than this is the same one: heartbeats repeat
+#: it, and each takes a different time. Entries announce differences above 20 ms.
+_SAME_NEED_MS = 10
 #: Offers are logged at most once in this time by an agent.
 _LOG_INTERVAL_MS = 1000
 
@@ -145,12 +148,15 @@
           owner: An Owner.
           earlier_ms: A number, by when it needed room before.
         """
-        if owner.room_needed_by_ms > earlier_ms:
+        if owner.room_needed_by_ms - earlier_ms > _SAME_NEED_MS:
             if owner.identity.incarnation in self._offered:
                 owner.offered_until_ms = 0.0
                 self._pass_on("declined")
-        elif owner.room_needed_by_ms < earlier_ms and self._timer is None:
-            self._pass_on("needed")
+        elif earlier_ms - owner.room_needed_by_ms > _SAME_NEED_MS:
+            # It was asked for work that could wait longer, or for none.
+            self._offered.discard(owner.identity.incarnation)
+            if self._timer is None:
+                self._pass_on("needed")
 
     def announced(self, room):
         """Choose what each owner is shown at an announcement.
@@ -161,6 +167,10 @@
         Returns:
           A list of pairs of an Owner and a Room.
         """
+        if self._timer is None:
+            # The room may have grown without the end of an attempt, as when the worker
+            # accepts attempts again; it would be shown to none of those that wait.
+            self._open_next("announced", room)
         self._divide(room.free.cpu)
         is_claimed = self._is_claimed()
         return [
@@ -182,11 +192,11 @@
 
     def _divide(self, free_cpu):
         """Choose the owners that are shown a share of room that none waits for."""
-        count = count_shares(free_cpu, self._task_cpu(), len(self._owners))
-        if count >= len(self._owners):
+        names = [need.owner for need in self._needs()]
+        count = count_shares(free_cpu, self._task_cpu(), len(names))
+        if count >= len(names):
             self._viewers = None
             return
-        names = list(self._owners)
         self._viewers = {
             names[(self._turn + index) % len(names)] for index in range(count)
         }
@@ -199,7 +209,9 @@
     def _visible(self, owner, room, is_claimed):
         free_cpu = room.free.cpu
         visible_cpu = self._visible_cpu(owner, free_cpu, is_claimed)
-        return dataclasses.replace(room, withheld_cpu=free_cpu - visible_cpu)
+        # The free room is negative while a worker that has shrunk runs too much.
+        withheld_cpu = max(0, free_cpu - visible_cpu)
+        return dataclasses.replace(room, withheld_cpu=withheld_cpu)
 
     def _visible_cpu(self, owner, free_cpu, is_claimed):
         is_offered = self._is_open(owner)
@@ -227,29 +239,43 @@
         free_cpu = self._describe().free.cpu
         self._offered.add(owner.identity.incarnation)
         owner.offered_cpu = max(0, free_cpu - self._held_cpu(owner))
-        owner.offered_until_ms = self._clock.now_ms() + _ANSWER_MS
+        self._metrics.count(metrics_.Counter.OFFERED, cause)
         if self._timer is not None:
+            if self._is_open(owner):
+                # An owner that doesn't answer would keep room idle for as long as
+                # attempts end more often than it is waited for.
+                return
             self._timer.cancel()
+        owner.offered_until_ms = self._clock.now_ms() + _ANSWER_MS
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(clock.seconds(_ANSWER_MS), self._on_unanswered)
-        self._metrics.count(metrics_.Counter.OFFERED, cause)
 
     def _on_unanswered(self):
         self._timer = None
         self._pass_on("unanswered")
 
     def _pass_on(self, cause):
-        """Offer the free room to the next owner that waits for room."""
+        """Send the free room to the next owner that waits for room."""
         room = self._describe()
+        owner = self._open_next(cause, room)
+        if owner is not None:
+            owner.send_room(self.shown(owner, room))
+
+    def _open_next(self, cause, room):
+        """Open an offer to the next owner that waits for room.
+
+        Returns:
+          An Owner; None if no offer is opened.
+        """
         need = self._choose(self._needs())
         if need is None or not room.accepting:
-            return
+            return None
         owner = self._owners[need.owner]
         if room.free.cpu <= self._held_cpu(owner):
-            return
+            return None
         self._open(owner, cause)
         self._log_offer(owner, cause, room)
-        owner.send_room(self.shown(owner, room))
+        return owner
 
     def _log_offer(self, owner, cause, room):
         now_ms = self._clock.now_ms()
