Move the decision about a new job out of the dispatcher, and weigh it by cost

Cause: no decision read the priority of a route, and waiting jobs were never displaced. Almost every waiting job counted as started, as its first attempt had found no room, and so went before all others.

Change: `acceptance` holds what `Dispatcher._refusal` did. Where entries coordinate it orders jobs by `priority_start`, drops those whose refusal costs callers least for the room they free (`shedding`, `delay_cost`), admits less when accepted jobs start too late (`lateness`), and spares routes, large jobs and priorities that were served too seldom. Weighed jobs that have started go by their keys; late ones get a later key. A job of which no attempt was sent is not started later than three times its objective.

--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -41,6 +41,7 @@
     RETRIED = "tasks_retried"
     HEDGED = "tasks_hedged"
     CRASHED = "workers_crashed"
+    SHED = "jobs_shed"
     MESSAGES = "stream_messages"
     SENT = "stream_messages_sent"
     OFFERED = "room_offers"
@@ -75,6 +76,10 @@
     Counter.RETRIED: ((), "Task attempts after a failed one."),
     Counter.HEDGED: ((), "Task attempts beside a slow one."),
     Counter.CRASHED: ((), "Crashes of the worker while it ran attempts."),
+    Counter.SHED: (
+        ("priority", "reason"),
+        "Direct jobs refused for lack of room, by priority and reason.",
+    ),
     Counter.MESSAGES: (
         ("type", "use"),
         "Stream messages received, by type, and whether they were needed or wasted.",
--- a/packages/dispatch/src/jujubeglade/direct/admission.py
+++ b/packages/dispatch/src/jujubeglade/direct/admission.py
@@ -8,7 +8,7 @@
 import dataclasses
 import heapq
 
-from jujubeglade.direct import policy
+from jujubeglade.direct import policy, shedding
 
 _MIN_RETRY_AFTER_MS = 100.0
 #: Room from other entries is expected to become free in this many equal steps.
@@ -120,6 +120,19 @@
     return _retry_after_ms(forecast, forecast.timeout_ms)
 
 
+@policy.choice("admission", "least_cost")
+def least_cost(plan):
+    """Accept a job unless its refusal costs callers least, and choose who gives way.
+
+    Args:
+      plan: A Plan of `shedding`.
+
+    Returns:
+      A Verdict of `shedding`.
+    """
+    return shedding.choose_refused(plan)
+
+
 def _retry_after_ms(forecast, bound_ms):
     alone_ms = max((load.remaining_ms for load in forecast.own), default=0)
     end_ms = forecast.end_ms()
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -10,16 +10,14 @@
 
 from jujubeglade.core import clock, log, metrics
 from jujubeglade.direct import (
+    acceptance,
     contract,
     fleet,
-    forecasts,
     heartbeats,
     owned_job,
-    policy,
     rack_demand,
     scheduler,
     spreading,
-    subset,
     suspicion,
 )
 from jujubeglade.direct import (
@@ -32,7 +30,6 @@
 #: A job is answered this long before its client timeout expires.
 _ANSWER_MARGIN_MS = 15
 _RETRY_AFTER_MS = 500.0
-_NO_SUCH_WORKER = "no such worker serves this entry"
 #: An attempt whose agent was lost within this time had just started.
 _JUST_STARTED_MS = 300
 #: The job class that labels the latency metric.
@@ -45,15 +42,13 @@
     """The jobs and the workers of one entry."""
 
     __slots__ = (
-        "_admit",
+        "_acceptance",
         "_cluster_state",
         "_clock",
         "_fleet",
         "_jobs",
-        "_queue_key",
         "_stopping_tasks",
         "_metrics",
-        "_options",
         "_rack_demand",
         "_scheduler",
         "_suspicions",
@@ -81,7 +76,6 @@
           options: An Options.
           name: A string, the name of the entry.
         """
-        self._options = options
         self._clock = clock
         self._cluster_state = cluster_state
         self._metrics = metrics
@@ -105,8 +99,15 @@
         self._suspicions = suspicion.new_suspicions()
         # Tasks of answered jobs whose attempts have not ended yet, by TaskName.
         self._stopping_tasks = {}
-        self._admit = policy.find("admission", "in_time")
-        self._queue_key = policy.find("queueing", "latest_start")
+        self._acceptance = acceptance.Acceptance(
+            self._fleet,
+            self._scheduler.queue,
+            cluster_state,
+            self._suspicions,
+            metrics,
+            options,
+            self._rack_demand,
+        )
 
     @property
     def fleet(self):
@@ -154,9 +155,13 @@
             job = owned_job.OwnedJob(submission, route, self._clock.now_ms())
             self._suspicions.mark(job)
             self._rack_demand.note(job, job.accepted_ms)
-            refused = self._refusal(job)
-            if refused is not None:
-                return refused
+            decision = self._acceptance.decide(job)
+            for other, retry_after_ms in decision.displaced:
+                self._refuse(other, "displaced by more urgent jobs", retry_after_ms)
+            outcome = decision.outcome
+            if outcome is not None:
+                self._log_answer(job, outcome.state, outcome.reason, **decision.inputs)
+                return outcome
             self._accept(job)
         job.waiting_requests += 1
         try:
@@ -270,50 +275,6 @@
             self._fleet.remove(worker)
         self._scheduler.refresh_all()
 
-    def _refusal(self, job):
-        """Return the Outcome of a job that is not accepted; None for one that is."""
-        hopeless = self._suspicions.hopeless_task(job)
-        if hopeless is not None:
-            reason = _crash_reason(hopeless)
-            self._log_answer(job, job_.State.FAILED, reason)
-            return job_.Outcome(job_.State.FAILED, reason)
-        submission = job.submission
-        for step in submission.steps:
-            if not self._fleet.could_ever_run(job.route.service, step.needs):
-                self._log_answer(job, job_.State.FAILED, "larger than any worker")
-                return job_.Outcome(job_.State.FAILED, "larger than any worker")
-        expects_workers = self._fleet.expects_workers(job.accepted_ms)
-        if not expects_workers and not self._holds_all(job):
-            # Agents of other entries may have such a worker.
-            self._log_answer(job, job_.State.REFUSED, _NO_SUCH_WORKER)
-            return job_.Outcome(job_.State.REFUSED, _NO_SUCH_WORKER, _RETRY_AFTER_MS)
-        job.key = self._queue_key(job.arrival())
-        entries = subset.sharing_entries(len(self._cluster_state.members.addresses))
-        forecast = forecasts.new_forecast(
-            self._fleet, self._scheduler.queue, job, entries, self._rack_demand
-        )
-        retry_after_ms = self._admit(forecast)
-        if not retry_after_ms or expects_workers:
-            return None
-        serving_cpu = sum(load.cpu for load in forecast.running)
-        self._log_answer(
-            job,
-            job_.State.REFUSED,
-            "no room in time",
-            end_ms=int(forecast.end_ms()),
-            objective_ms=int(forecast.objective_ms),
-            ahead=len(forecast.ahead),
-            free_cpu=forecast.free_cpu,
-            serving_cpu=serving_cpu,
-        )
-        self._metrics.count(metrics.Counter.REFUSED, "overloaded")
-        return job_.Outcome(job_.State.REFUSED, "no room in time", retry_after_ms)
-
-    def _holds_all(self, job):
-        """Return whether this entry has workers that could run each step of a job."""
-        service = job.route.service
-        return all(self._fleet.holds(service, step) for step in job.submission.steps)
-
     def _accept(self, job):
         self._jobs[job.submission.job_id] = job
         left_ms = job.submission.timeout_ms - _ANSWER_MARGIN_MS
@@ -338,7 +299,11 @@
         state = job_.State.UNFINISHED if job.may_have_started else job_.State.REFUSED
         self._answer(job, state, "not done in time")
 
-    def _answer(self, job, state, reason=""):
+    def _refuse(self, job, reason, retry_after_ms):
+        """Refuse a waiting job of which no attempt was sent."""
+        self._answer(job, job_.State.REFUSED, reason, retry_after_ms)
+
+    def _answer(self, job, state, reason="", retry_after_ms=_RETRY_AFTER_MS):
         """Answer a job, and stop its tasks that may still run."""
         job.timer.cancel()
         self._jobs.pop(job.submission.job_id, None)
@@ -348,7 +313,8 @@
             task.worker.halt(task.name, task.run)
         self._log_answer(job, state, reason)
         if not job.answer.done():
-            retry_after_ms = _RETRY_AFTER_MS if state is job_.State.REFUSED else 0
+            if state is not job_.State.REFUSED:
+                retry_after_ms = 0
             job.answer.set_result(job_.Outcome(state, reason, retry_after_ms))
 
     def _log_answer(self, job, state, reason, **inputs):
@@ -435,7 +401,7 @@
         task = self._suspicions.hopeless_task(job)
         if task is None:
             return False
-        self._answer(job, job_.State.FAILED, _crash_reason(task))
+        self._answer(job, job_.State.FAILED, suspicion.crash_reason(task))
         return True
 
     def _handle_roster(self, worker, roster):
@@ -491,6 +457,7 @@
         if job.answer.done():
             return
         if job.is_done:
+            self._acceptance.note_answered(job, self._clock.now_ms())
             self._answer(job, job_.State.COMPLETED)
         elif job.ready:
             self._scheduler.add(job)
@@ -540,7 +507,10 @@
         Args:
           task: An OwnedTask.
         """
-        if task.awaits_verdict(self._clock.now_ms()):
+        now_ms = self._clock.now_ms()
+        if task.awaits_verdict(now_ms):
+            return False
+        if not self._acceptance.helps_caller(task.job, now_ms):
             return False
         previous = self._stopping_tasks.get(task.name)
         if previous is None:
@@ -554,7 +524,8 @@
         Args:
           job: An OwnedJob of which no task can have started.
         """
-        self._answer(job, job_.State.REFUSED, "late before it could start")
+        retry_after_ms = self._acceptance.refuse_late(job, self._clock.now_ms())
+        self._refuse(job, "late before it could start", retry_after_ms)
 
     def send(self, task, worker, now_ms, candidates):
         """Send a task to a worker.
@@ -590,11 +561,6 @@
         )
 
 
-def _crash_reason(task):
-    """Return why a job is given up, as a text for its client and the log."""
-    return f"workers crashed under task {task.name}"
-
-
 def _texts(attempts):
     """Write pairs of a TaskName and a run as one text for the log."""
     return " ".join(sorted(f"{name}/{run}" for name, run in attempts))
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from jujubeglade.direct import job, queueing
+from jujubeglade.direct import delay_cost, job, queueing
 
 #: A task is not sent again when this many of its attempts have ended with their worker
 #: or agent just after the start, also if it was not shown that the worker crashed.
@@ -133,6 +133,10 @@
         "deadline_ms",
         "due_ms",
         "may_have_started",
+        "is_deferred",
+        "is_overdue",
+        "is_protected",
+        "is_weighed",
         "key",
         "tasks_left",
         "ready",
@@ -161,6 +165,14 @@
         self.due_ms = now_ms + route.objective_ms(longest_ms)
         #: The key that determines its place in the queue; lower keys come first.
         self.key = 0.0
+        #: Whether the starvation guard spares it (`shedding`).
+        self.is_protected = False
+        #: Whether it is accepted even if late, as its priority was served too seldom.
+        self.is_overdue = False
+        #: Whether it was weighed against other jobs, so that it goes by its key alone.
+        self.is_weighed = False
+        #: Whether it is late and has got a later key.
+        self.is_deferred = False
         #: Whether a worker may have started one of its tasks.
         self.may_have_started = False
         self.answer = asyncio.get_running_loop().create_future()
@@ -189,6 +201,32 @@
         """Return whether all tasks are done."""
         return not any(self.tasks_left)
 
+    @property
+    def goes_first(self):
+        """Return whether it gets workers before all jobs that have not started."""
+        return self.may_have_started and not self.is_weighed
+
+    def defer(self):
+        """Order it by when its answer no longer helps, as it will be late."""
+        objective_ms = self.due_ms - self.accepted_ms
+        self.key += delay_cost.useful_ms(objective_ms) - objective_ms
+        self.is_deferred = True
+
+    @property
+    def started_late(self):
+        """Return whether a task was last sent too late for an answer in time."""
+        return any(
+            task.sent_ms + task.expected_ms > self.due_ms for task in self.all_tasks()
+        )
+
+    @property
+    def work(self):
+        """Return what all its tasks need by their estimates, in core-milliseconds."""
+        return sum(
+            step.count * step.needs.cpu * step.estimate_ms / 1000
+            for step in self.submission.steps
+        )
+
     def arrival(self):
         """Return the Arrival from which a queueing policy computes the key."""
         longest_ms = longest_chain_ms(self.submission.steps)
--- a/packages/dispatch/src/jujubeglade/direct/queueing.py
+++ b/packages/dispatch/src/jujubeglade/direct/queueing.py
@@ -10,6 +10,11 @@
 
 from jujubeglade.direct import policy
 
+#: How much later each further priority needs room. It exceeds the slack of the most
+#: urgent jobs, about 130 ms, and that of the next ones, about 300 ms, so that those of
+#: one priority seldom wait for jobs of a lower one.
+_PRIORITY_DELAY_MS = 300.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
@@ -34,6 +39,17 @@
     return arrival.due_ms - arrival.longest_ms
 
 
+@policy.choice("queueing", "priority_start")
+def priority_start(arrival):
+    """Order jobs by their latest start, deferred by a time for each priority.
+
+    Under overload the more urgent priorities go first. The key remains a time by which
+    room is needed, so owners compare it when they share freed room (`sharing`), and a
+    job of a low priority that has waited long enough goes before newer urgent ones.
+    """
+    return latest_start(arrival) + arrival.priority * _PRIORITY_DELAY_MS
+
+
 @policy.choice("queueing", "arrival")
 def first_come(arrival):
     """Order jobs by their arrival: the baseline."""
@@ -51,7 +67,11 @@
 
     def ahead(self, key):
         """List the jobs ahead of a new job with a key."""
-        return [job for job in self._jobs if job.may_have_started or job.key <= key]
+        return [job for job in self._jobs if job.goes_first or job.key <= key]
+
+    def jobs(self):
+        """List all jobs in the order of their keys."""
+        return list(self._jobs)
 
     def first_key(self):
         """Return the lowest key; infinite when the queue is empty."""
@@ -64,6 +84,11 @@
         runs too. Then come the jobs that can still be answered in time: a job that is
         already late would only make others late too.
 
+        Jobs that were weighed against each other (`shedding`) go by their keys alone:
+        under overload most jobs have sent an attempt that found no room, and would all
+        go before more urgent ones. A started one that is late gets a later key, so that
+        it claims no freed room before jobs that can be in time.
+
         Args:
           now_ms: A number, the monotonic clock.
 
@@ -74,15 +99,31 @@
         started = []
         in_time = []
         late = []
+        self._defer_late(now_ms)
         for job in self._jobs:
-            if job.may_have_started:
+            if job.goes_first:
                 started.append(job)
-            elif job.can_be_in_time(now_ms):
+            elif job.is_deferred or job.can_be_in_time(now_ms):
                 in_time.append(job)
             else:
                 late.append(job)
         return started + in_time, late
 
+    def _defer_late(self, now_ms):
+        """Give the weighed jobs that have started and are late their later keys."""
+        late = [
+            job
+            for job in self._jobs
+            if job.is_weighed
+            and job.may_have_started
+            and not job.is_deferred
+            and not job.can_be_in_time(now_ms)
+        ]
+        for job in late:
+            job.defer()
+        if late:
+            self._jobs.sort(key=lambda queued: queued.key)
+
     def __len__(self):
         """Return the number of jobs."""
         return len(self._jobs)
--- a/packages/dispatch/src/jujubeglade/direct/suspicion.py
+++ b/packages/dispatch/src/jujubeglade/direct/suspicion.py
@@ -142,3 +142,12 @@
       A Suspicions.
     """
     return Suspicions()
+
+
+def crash_reason(task):
+    """Return why a job is given up, as a text for its client and the log.
+
+    Args:
+      task: An OwnedTask.
+    """
+    return f"workers crashed under task {task.name}"
