--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -270,7 +270,7 @@
         for number, service in enumerate(context.services):
             waiting.add(_owned_job(f"{number:016x}", service))
         weighed = acceptance.Acceptance(
-            None, waiting, None, None, None, options.NO_OPTIONS
+            None, waiting, None, None, None, options.NO_OPTIONS, _NoRacks()
         )
         forecast = admission.Forecast(0, (), (), (), 100.0, 1000.0)
         return weighed._plan(_owned_job("f" * 16, name), forecast)
@@ -308,7 +308,7 @@
 def _helps(context, asked):
     members = types.SimpleNamespace(addresses=tuple(range(6)))
     state = types.SimpleNamespace(members=members)
-    weighed = acceptance.Acceptance(None, None, state, None, None, asked)
+    weighed = acceptance.Acceptance(None, None, state, None, None, asked, None)
     return weighed.helps_caller(context.job, context.now_ms)
 
 
@@ -341,6 +341,14 @@
     assert context.queue.first_key() == context.new.key
 
 
+class _NoRacks:
+    """Stands for a RackDemand without racks."""
+
+    def forecast_ms(self, job, step, now_ms):
+        """Return the expected run time of a task of a step."""
+        return step.estimate_ms
+
+
 def _owned_job(job_id, service):
     step = job.Step(2, job.Resources(_CORE, 64, 0), 100)
     submission = job.Submission(job_id, "parts", "", (step,), 1000.0)
