--- a/packages/bench/src/jujubeglade/bench/direct_soak.py
+++ b/packages/bench/src/jujubeglade/bench/direct_soak.py
@@ -29,6 +29,8 @@
 
 _ENTRIES = 3
 _WORKERS = 4
+#: The parts that coordinate entries come and go as entries are killed and restarted.
+_COORDINATE_FROM = 3
 _ARRIVAL_GAP_MS = (20.0, 120.0)
 _CLIENT_TIMEOUT_MS = 4000
 _RESUBMIT_DELAY_MS = 1300
@@ -99,7 +101,7 @@
       A Report.
     """
     folder = tempfile.mkdtemp(prefix="direct-soak-")
-    site = process_site.ProcessSite(folder)
+    site = process_site.ProcessSite(folder, _COORDINATE_FROM)
     findings = []
     clients = []
     injected = []
--- a/packages/bench/src/jujubeglade/fakes/process_site.py
+++ b/packages/bench/src/jujubeglade/fakes/process_site.py
@@ -92,13 +92,15 @@
 class ProcessSite(platform_site.PlatformSite):
     """A site whose entries and agents are separate processes."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, coordinate_from=0):
         """Create a site without processes; `open` starts them.
 
         Args:
           folder: A string, the folder for settings files and logs.
+          coordinate_from: An integer, that setting of all processes.
         """
         super().__init__()
+        self._own_settings = {"log_level": "info", "coordinate_from": coordinate_from}
         self._folder = pathlib.Path(folder)
         #: Relays by the name of the process and the target, "store" or "worker".
         self.relays = {}
@@ -129,7 +131,7 @@
         await super().close()
 
     async def _start(self, settings):
-        program = Program(self._folder, settings | {"log_level": "info"})
+        program = Program(self._folder, settings | self._own_settings)
         await program.start()
         return program
 
