--- a/features/load_shedding.feature
+++ b/features/load_shedding.feature
@@ -137,6 +137,12 @@
     When a job of priority 1 with 8 tasks of 100 ms, due in 120 ms, arrives
     Then the newcomer gives way, and the decision took less than 1000 ms
 
+  # Dealing out the queue again for each late job that can't be dropped did.
+  Scenario: A long queue of late jobs of which an attempt was sent is decided upon quickly
+    Given 100 free cores and 600 jobs of priority 1 with 8 tasks of 100 ms that are late and sent
+    When a job of priority 1 with 8 tasks of 100 ms, due in 120 ms, arrives
+    Then the newcomer gives way, and the decision took less than 500 ms
+
   # Refusing it would free no room for the newcomer.
   Scenario: A job for the workers of another service can't give way
     Given waiting jobs for the services a, a and b
--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -244,14 +244,22 @@
     "{cores:d} free cores and {count:d} jobs of priority {priority:d} "
     "with {tasks:d} tasks of {ms:d} ms that are late"
 )
-def step_long_queue(context, cores, count, priority, tasks, ms):
+def step_long_queue(context, cores, count, priority, tasks, ms, sent=False):
     context.free_cpu = cores * _CORE
     context.waiting = [
-        _claim(f"job-{number}", priority, tasks, ms, 110, number)
+        _claim(f"job-{number}", priority, tasks, ms, 110, number, sent)
         for number in range(count)
     ]
 
 
+@given(
+    "{cores:d} free cores and {count:d} jobs of priority {priority:d} "
+    "with {tasks:d} tasks of {ms:d} ms that are late and sent"
+)
+def step_long_sent_queue(context, cores, count, priority, tasks, ms):
+    step_long_queue(context, cores, count, priority, tasks, ms, sent=True)
+
+
 @then("the newcomer gives way, and the decision took less than {ms:d} ms")
 def step_quick(context, ms):
     assert _NEWCOMER in context.refused
--- a/packages/dispatch/src/jujubeglade/direct/shedding.py
+++ b/packages/dispatch/src/jujubeglade/direct/shedding.py
@@ -135,29 +135,12 @@
     """
     kept = list(order)
     dropped = []
-    # Jobs that can't be dropped and are late whatever is dropped.
-    lost = set()
     dealings = _MAX_DEALT_TASKS // max(1, sum(len(claim.loads) for claim in order))
     while True:
         ends = _ends_ms(plan, kept)
-        late = next(
-            (
-                number
-                for number, claim in enumerate(kept)
-                if claim.job_id not in lost and _is_late(claim, ends)
-            ),
-            None,
-        )
-        if late is None:
-            return kept, dropped
-        candidates = [
-            claim
-            for claim in kept[: late + 1]
-            if not claim.may_have_started and not claim.is_overdue
-        ]
+        candidates = _droppable_before_late(kept, ends)
         if not candidates:
-            lost.add(kept[late].job_id)
-            continue
+            return kept, dropped
         if len(dropped) >= max(1, dealings):
             return _without_late_newcomer(plan, kept, dropped, ends)
         victim = min(candidates, key=_preference)
@@ -165,6 +148,20 @@
         dropped.append(victim)
 
 
+def _droppable_before_late(kept, ends):
+    """List the jobs that may be dropped up to the first late job that this could help.
+
+    Late jobs with none before them are passed over: their number doesn't add dealings.
+    """
+    candidates = []
+    for claim in kept:
+        if not claim.may_have_started and not claim.is_overdue:
+            candidates.append(claim)
+        if candidates and _is_late(claim, ends):
+            return candidates
+    return []
+
+
 def _without_late_newcomer(plan, kept, dropped, ends):
     """Drop the newcomer if it is kept and late, and leave the others as they are."""
     newcomer = plan.newcomer
