Let the share of late starts fall with time

Late starts and starts decayed alike, so their ratio stayed when nothing started. After one late start and no further start the admitted share fell to 0.1 within 1.1 s and stayed there; with a job every 5 s, one late start lowered it to 0.12. A share of at least ten starts falls with time.

--- a/features/load_shedding.feature
+++ b/features/load_shedding.feature
@@ -143,6 +143,20 @@
     When a job of priority 1 with 8 tasks of 100 ms, due in 120 ms, arrives
     Then the newcomer gives way, and the decision took less than 500 ms
 
+  # At low traffic each job weighs much; without a least number of starts, one late start
+  # lowered the admitted share to the floor for good.
+  Scenario: A single late start at low traffic doesn't lower the admitted share
+    Given a job every 5000 ms of which one starts late
+    When 10 more arrive and none starts
+    Then the admitted share is 1
+
+  # When nothing starts, the share of late starts must fall with time all the same.
+  Scenario: The admitted share recovers after a burst also when no job starts
+    Given a job every 20 ms for 1000 ms, all of which start late
+    Then the admitted share is below 0.5
+    When jobs arrive every 20 ms for 8000 ms and none starts
+    Then the admitted share is 1
+
   # Refusing it would free no room for the newcomer.
   Scenario: A job for the workers of another service can't give way
     Given waiting jobs for the services a, a and b
--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -260,6 +260,48 @@
     step_long_queue(context, cores, count, priority, tasks, ms, sent=True)
 
 
+@given("a job every {interval_ms:d} ms of which one starts late")
+def step_one_late_start(context, interval_ms):
+    context.lateness = lateness.Lateness()
+    context.interval_ms = interval_ms
+    context.now_ms = 1e6
+    for is_late in (False, False, True):
+        _arrive(context)
+        context.lateness.note_start(is_late, context.now_ms)
+
+
+@when("{count:d} more arrive and none starts")
+def step_more_arrive(context, count):
+    for _ in range(count):
+        _arrive(context)
+
+
+@given("a job every {interval_ms:d} ms for {ms:d} ms, all of which start late")
+def step_late_burst(context, interval_ms, ms):
+    context.lateness = lateness.Lateness()
+    context.interval_ms = interval_ms
+    context.now_ms = 1e6
+    for _ in range(ms // interval_ms):
+        _arrive(context)
+        context.lateness.note_start(True, context.now_ms)
+
+
+@when("jobs arrive every {interval_ms:d} ms for {ms:d} ms and none starts")
+def step_arrivals_only(context, interval_ms, ms):
+    context.interval_ms = interval_ms
+    step_more_arrive(context, ms // interval_ms)
+
+
+@then("the admitted share is {admitted:g}")
+def step_admitted_share(context, admitted):
+    assert context.lateness.level().admitted == admitted, context.lateness.level()
+
+
+@then("the admitted share is below {admitted:g}")
+def step_admitted_share_below(context, admitted):
+    assert context.lateness.level().admitted < admitted, context.lateness.level()
+
+
 @then("the newcomer gives way, and the decision took less than {ms:d} ms")
 def step_quick(context, ms):
     assert _NEWCOMER in context.refused
@@ -349,6 +391,11 @@
     assert context.queue.first_key() == context.new.key
 
 
+def _arrive(context):
+    context.now_ms += context.interval_ms
+    context.lateness.note_arrival(0, 100.0, context.now_ms)
+
+
 class _NoRacks:
     """Stands for a RackDemand without racks."""
 
--- a/packages/dispatch/src/jujubeglade/direct/lateness.py
+++ b/packages/dispatch/src/jujubeglade/direct/lateness.py
@@ -13,6 +13,9 @@
 #: So many accepted jobs may start too late; an answer that comes too late has cost room
 #: that another job could have used.
 _LATE_SHARE = 0.1
+#: Late starts are a share of at least so many starts. One alone is not above the bound,
+#: and the share falls with time also when few or no jobs start.
+_MIN_STARTS = 10.0
 #: Late starts count for half after this time: a few answers of urgent jobs per entry.
 _HALF_LIFE_MS = 700.0
 #: How fast the admitted share falls, for each part of late starts above the bound, and
@@ -138,7 +141,7 @@
         return Level(self._admitted, self._late_share(), mix)
 
     def _late_share(self):
-        return self._late / self._started if self._started else 0.0
+        return self._late / max(self._started, _MIN_STARTS)
 
     def _adapt(self, now_ms):
         passed_ms = min(now_ms - self._updated_ms, _HALF_LIFE_MS)
