--- a/features/load_shedding.feature
+++ b/features/load_shedding.feature
@@ -137,7 +137,13 @@
     When a job of priority 1 with 8 tasks of 100 ms, due in 120 ms, arrives
     Then the newcomer gives way, and the decision took less than 1000 ms
 
-  # Dealing out the queue again for each late job that can't be dropped did.
+  # A queue of some hundred jobs is common under overload, and each arrival is decided upon.
+  Scenario: A queue of some hundred jobs is dealt out a few times for one decision
+    Given 100 free cores and 300 jobs of priority 1 with 8 tasks of 100 ms that are late
+    When a job of priority 1 with 8 tasks of 100 ms, due in 120 ms, arrives
+    Then the newcomer gives way, and at most 15000 tasks were dealt out
+
+  # Dealing out the queue again for each late job that can't be dropped takes seconds.
   Scenario: A long queue of late jobs of which an attempt was sent is decided upon quickly
     Given 100 free cores and 600 jobs of priority 1 with 8 tasks of 100 ms that are late and sent
     When a job of priority 1 with 8 tasks of 100 ms, due in 120 ms, arrives
--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -49,9 +49,14 @@
 def step_newcomer(context, priority, tasks, ms, due):
     newcomer = _claim(_NEWCOMER, priority, tasks, ms, due, 100)
     plan = shedding.Plan(context.free_cpu, (), (), tuple(context.waiting), newcomer)
-    begin_s = time.monotonic()
-    verdict = policy.find("admission", "least_cost")(plan)
-    context.took_ms = (time.monotonic() - begin_s) * 1000
+    deal = shedding._ends_ms
+    with mock.patch.object(shedding, "_ends_ms", side_effect=deal) as dealings:
+        begin_s = time.monotonic()
+        verdict = policy.find("admission", "least_cost")(plan)
+        context.took_ms = (time.monotonic() - begin_s) * 1000
+    context.dealt_tasks = sum(
+        len(claim.loads) for call in dealings.call_args_list for claim in call.args[1]
+    )
     context.refused = {claim.job_id for claim in verdict.refused}
 
 
@@ -325,6 +330,12 @@
     assert context.took_ms < ms, context.took_ms
 
 
+@then("the newcomer gives way, and at most {count:d} tasks were dealt out")
+def step_few_dealings(context, count):
+    assert _NEWCOMER in context.refused
+    assert context.dealt_tasks <= count, context.dealt_tasks
+
+
 @given("waiting jobs for the services {names}")
 def step_services(context, names):
     context.services = names.replace(" and ", ", ").split(", ")
