Keep the admitted share by service

An entry had one level for all services: late starts of one service refused jobs of others, whose workers may have room.

--- a/features/load_shedding.feature
+++ b/features/load_shedding.feature
@@ -174,6 +174,11 @@
       | for want of room       | late    |
       | after a lost attempt   | in time |
 
+  # With one level for all services, jobs are refused whose workers have room.
+  Scenario: Late starts of one service don't lower the admitted share of another
+    Given 50 jobs of the service a that started late and were answered every 20 ms
+    Then less than all work of the service a is admitted, and all of the service b
+
   # Refusing it would free no room for the newcomer.
   Scenario: A job for the workers of another service can't give way
     Given waiting jobs for the services a, a and b
--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -336,6 +336,30 @@
     assert context.dealt_tasks <= count, context.dealt_tasks
 
 
+@given(
+    "{count:d} jobs of the service {name:w} that started late "
+    "and were answered every {interval_ms:d} ms"
+)
+def step_late_service(context, count, name, interval_ms):
+    async def make():
+        return _owned_job("late", name), _owned_job("other", "b")
+
+    context.late, context.other = asyncio.run(make())
+    context.late.is_weighed = True
+    context.late.all_tasks()[0].sent_ms = context.late.due_ms
+    context.acceptance = acceptance.Acceptance(
+        None, queueing.Queue(), None, None, None, None, _NoRacks()
+    )
+    for number in range(count):
+        context.acceptance.note_answered(context.late, 1e6 + number * interval_ms)
+
+
+@then("less than all work of the service a is admitted, and all of the service b")
+def step_other_service(context):
+    assert context.acceptance.level(context.late).admitted < 1
+    assert context.acceptance.level(context.other).admitted == 1
+
+
 @given("waiting jobs for the services {names}")
 def step_services(context, names):
     context.services = names.replace(" and ", ", ").split(", ")
--- a/packages/dispatch/src/jujubeglade/direct/acceptance.py
+++ b/packages/dispatch/src/jujubeglade/direct/acceptance.py
@@ -90,7 +90,8 @@
         self._queue_key = policy.find("queueing", "latest_start")
         self._queue_key_by_priority = policy.find("queueing", "priority_start")
         self._guard = shedding.Guard()
-        self._lateness = lateness.Lateness()
+        # By service: others use other workers, which may have room.
+        self._lateness = collections.defaultdict(lateness.Lateness)
         # The latest forecast of when there is room.
         self._room_after_ms = 0.0
 
@@ -155,7 +156,7 @@
           now_ms: A number, the monotonic clock.
         """
         if job.is_weighed and not job.is_overdue:
-            self._lateness.note_start(job.started_late, now_ms)
+            self._lateness[job.route.service].note_start(job.started_late, now_ms)
 
     def refuse_late(self, job, now_ms):
         """Note that a waiting job is refused as it can't be in time any more.
@@ -174,6 +175,14 @@
             max(_RETRY_AFTER_MS, self._room_after_ms), job.submission.job_id
         )
 
+    def level(self, job):
+        """Return the Level of admission for jobs of the service of a job.
+
+        Args:
+          job: An OwnedJob.
+        """
+        return self._lateness[job.route.service].level()
+
     def _weigh(self, job, expects_workers):
         """Weigh a new job against those that wait, and choose which give way."""
         now_ms = job.accepted_ms
@@ -186,10 +195,11 @@
             arrival = dataclasses.replace(arrival, priority=0)
         job.key = self._queue_key_by_priority(arrival)
         self._guard.note_arrival(job.route, work, now_ms)
-        self._lateness.note_arrival(job.route.priority, work, now_ms)
+        late_starts = self._lateness[job.route.service]
+        late_starts.note_arrival(job.route.priority, work, now_ms)
         if expects_workers:
             return Decision()
-        level = self._lateness.level()
+        level = self.level(job)
         is_admitted = lateness.admits(
             level, job.route.priority, job.submission.job_id, now_ms
         )
@@ -227,10 +237,10 @@
     def _shed(self, job, forecast, plan, verdict):
         """Turn a Verdict into a Decision."""
         now_ms = job.accepted_ms
-        level = self._lateness.level()
+        level = self.level(job)
         for claim in verdict.refused:
             if lateness.admits_less_urgent(level, claim.priority):
-                self._lateness.note_start(True, now_ms)
+                self._lateness[job.route.service].note_start(True, now_ms)
         refused_ids = {claim.job_id for claim in verdict.refused}
         displaced = []
         for other in self._queue.jobs():
