--- a/packages/dispatch/src/jujubeglade/direct/shedding.py
+++ b/packages/dispatch/src/jujubeglade/direct/shedding.py
@@ -31,8 +31,8 @@
 _LARGEST_SHARE = 0.1
 #: The step of the running estimate of the work above which a job is among the largest.
 _QUANTILE_STEP = 0.2
-#: The dealings of one decision that choose whom to drop cover about so many tasks, so
-#: that it takes a few ms of the event loop. With longer queues fewer jobs are dropped at once,
+#: The dealings that choose whom to drop cover about so many tasks, so that a decision
+#: takes a few ms of the event loop. With longer queues fewer jobs are dropped at once,
 #: at least one; after that the newcomer gives way if it would be late.
 _MAX_DEALT_TASKS = 2_000
 #: Callers that are refused return over at least this time: the header Retry-After tells
