Leave racks to others only on routes where locality acts

Cause: the placement of any task took into account the racks that tasks of another route of the same service had asked for, also on a route whose slack factor exceeds the remote penalty. Evidence: the new scenario fails without the change (the task runs in rack 1).

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -93,6 +93,12 @@
     And a job of 1 tasks of 100 ms needs no rack
     Then it runs in rack 1
 
+  Scenario: A route whose slack factor exceeds the remote penalty avoids no rack
+    Given a site of two racks with a remote penalty of 3
+    When a job of 2 tasks of 400 ms needs rack 0
+    And a job of 1 tasks of 100 ms of a route with slack factor 4 needs no rack
+    Then it runs in rack 0
+
   Scenario: An entry that has restarted runs tasks in their rack without knowing of demand
     Given a site of two racks with a remote penalty of 3
     When a job of 1 tasks of 400 ms needs rack 0
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -145,6 +145,15 @@
     context.runner.run(_submit(context, count, ms, None))
 
 
+@when(
+    "a job of {count:d} tasks of {ms:d} ms of a route with slack factor {slack:g} "
+    "needs no rack"
+)
+def step_job_of_route(context, count, ms, slack):
+    asked = dataclasses.replace(direct_site.ROUTE, slack_factor=slack)
+    context.runner.run(_submit(context, count, ms, None, asked=asked))
+
+
 @when("{jobs:d} jobs of {count:d} tasks of {ms:d} ms need rack {rack:d}")
 def step_jobs(context, jobs, count, ms, rack):
     for _ in range(jobs):
@@ -158,7 +167,7 @@
         context.runner.run(_last_outcome(context))
 
 
-async def _submit(context, count, ms, rack, cpu=_TASK_CPU):
+async def _submit(context, count, ms, rack, cpu=_TASK_CPU, asked=direct_site.ROUTE):
     submission = context.site.submission(count, cpu, ms, _TIMEOUT_MS)
     if rack is not None:
         name = _rack_name(rack)
@@ -167,14 +176,14 @@
             submission, steps=steps, spec=f"{submission.spec} {name}"
         )
     _, entry = context.site.entries[-1]
-    context.calls.append(asyncio.create_task(_timed(context, entry, submission)))
+    context.calls.append(asyncio.create_task(_timed(context, entry, submission, asked)))
     context.submission = submission
     await asyncio.sleep(0.005)
 
 
-async def _timed(context, entry, submission):
+async def _timed(context, entry, submission, asked):
     begin_ms = context.site.clock.now_ms()
-    outcome = await entry.submit(submission, direct_site.ROUTE)
+    outcome = await entry.submit(submission, asked)
     return outcome, context.site.clock.now_ms() - begin_ms
 
 
@@ -266,14 +275,20 @@
 
 @then("it runs in rack {rack:d}")
 def step_runs_in(context, rack):
+    workers = _workers_of(context, context.submission)
+    racks = [worker.room.labels for worker in workers]
+    assert racks == [(_rack_name(rack),)], racks
+
+
+def _workers_of(context, submission):
+    """List the workers that run the tasks of a job, one for each task."""
     _, entry = context.site.entries[-1]
-    racks = [
-        worker.room.labels
+    return [
+        worker
         for worker in entry.fleet
         for task in worker.assigned_tasks
-        if task.job_id == context.submission.job_id
+        if task.job_id == submission.job_id
     ]
-    assert racks == [(_rack_name(rack),)], racks
 
 
 @then("{inside:d} attempts were sent inside and {outside:d} outside of their rack")
--- a/packages/dispatch/src/jujubeglade/direct/rack_demand.py
+++ b/packages/dispatch/src/jujubeglade/direct/rack_demand.py
@@ -86,6 +86,20 @@
             self._racks = self._look(now_ms)
         return self._racks.get(service, _NO_RACKS)
 
+    def avoidable(self, job, now_ms):
+        """Return the racks that the tasks of a job leave to tasks that ask for them.
+
+        Args:
+          job: An OwnedJob.
+          now_ms: A number, the monotonic clock.
+
+        Returns:
+          A dict from names to Racks; empty for a route on which locality does not act.
+        """
+        if not self._acts(job):
+            return _NO_RACKS
+        return self.racks(job.route.service, now_ms)
+
     def _look(self, now_ms):
         """Drop the demand of long ago, and add up the workers of the other racks.
 
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -182,7 +182,7 @@
 
     def _send(self, task, workers, now_ms):
         """Send a task to one of the workers; return whether one had room."""
-        racks = self._rack_demand.racks(task.job.route.service, now_ms)
+        racks = self._rack_demand.avoidable(task.job, now_ms)
         request = placement.request_of(
             task, self._fleet, self._zone, racks, self._spread_as()
         )
