Don't refuse a job as late while it is held for a fast worker of its rack

Cause: a job counts as late when its estimate exceeds the time left, but it is held for its rack by the learnt speed of the fastest worker there. A job held for a worker that takes half as long was refused at the end of the round in which it became late, while there was room outside of its rack. Change: a held job isn't refused. The mark is taken back whenever a job is offered to the whole fleet; it stayed set when the room elsewhere had been taken, which would now keep the job waiting, and let it pass the limit of unplaced jobs of a round. Evidence: the first new scenario fails without the change (refused, 'late before it could start'), the second without taking the mark back.

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -81,6 +81,22 @@
       | the zone of rack 0 is evacuated        |
       | the workers of rack 0 shrink to 1 core |
 
+  Scenario: A task that waits for a fast worker of its rack is not refused as late
+    Given a site of two racks with a remote penalty of 3
+    And the workers of rack 0 are known to take half as long
+    When rack 0 is full for 230 ms
+    And a job of 1 tasks of 200 ms needs rack 0
+    Then it is completed within 440 ms
+    And 3 attempts were sent inside and 0 outside of their rack
+
+  Scenario: A task that was held for its rack is refused as late once all room is taken
+    Given a site of two racks with a remote penalty of 3
+    And the workers of rack 0 are known to take half as long
+    When rack 0 is full for 2000 ms
+    And a job of 1 tasks of 200 ms needs rack 0
+    And other jobs then fill rack 1 for 2000 ms
+    Then it is refused within 240 ms
+
   Scenario: A task whose rack has no worker runs elsewhere at once
     Given a site of two racks with a remote penalty of 3
     When a job of 2 tasks of 200 ms needs rack 7
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -135,6 +135,24 @@
     context.runner.run(_submit(context, _TASKS_OF_RACK // 2, ms, rack, 2 * _TASK_CPU))
 
 
+@when("other jobs then fill rack {rack:d} for {ms:d} ms")
+def step_fill(context, rack, ms):
+    before = context.calls[-1]
+    context.runner.run(_submit(context, _TASKS_OF_RACK // 2, ms, None, 2 * _TASK_CPU))
+    context.calls.append(before)
+    racks = {worker.room.labels for worker in _workers_of(context, context.submission)}
+    assert racks == {(_rack_name(rack),)}, racks
+
+
+@given("the workers of rack {rack:d} are known to take half as long")
+def step_fast(context, rack):
+    _, entry = context.site.entries[-1]
+    for worker in entry.fleet:
+        if _rack_name(rack) in worker.room.labels:
+            for _ in range(50):
+                worker.health.note_done(50, 100, context.site.clock.now_ms())
+
+
 @when("a job of {count:d} tasks of {ms:d} ms needs rack {rack:d}")
 def step_job(context, count, ms, rack):
     context.runner.run(_submit(context, count, ms, rack))
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -189,6 +189,16 @@
         """Return whether all tasks are done."""
         return not any(self.tasks_left)
 
+    @property
+    def is_held(self):
+        """Return whether a ready task waits for its rack; see `locality`."""
+        return any(task.is_held for task in self.ready)
+
+    def forget_held(self):
+        """Mark no ready task as waiting for its rack."""
+        for task in self.ready:
+            task.is_held = False
+
     def arrival(self):
         """Return the Arrival from which a queueing policy computes the key."""
         longest_ms = longest_chain_ms(self.submission.steps)
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -115,19 +115,21 @@
             return
         self._is_scheduled = False
         now_ms = self._clock.now_ms()
-        grown = tuple(self._fleet) if self._offers_all else tuple(self._grown_workers)
+        everyone = tuple(self._fleet)
+        grown = everyone if self._offers_all else tuple(self._grown_workers)
         self._offers_all = False
         self._grown_workers.clear()
         in_time, late = self._queue.in_turn(now_ms)
-        self._offer(in_time, grown, now_ms)
+        self._offer(in_time, everyone, grown, now_ms)
         expects_workers = self._fleet.expects_workers(now_ms)
-        for job in self._offer(late, grown, now_ms):
-            if not job.may_have_started and not expects_workers:
+        for job in self._offer(late, everyone, grown, now_ms):
+            if not (job.may_have_started or job.is_held or expects_workers):
                 # Other jobs go first; refuse it so that its client can try elsewhere.
+                # One held for its rack can be in time there on a fast worker.
                 self._dispatcher.refuse_late(job)
         self._dispatcher.on_round()
 
-    def _offer(self, jobs, grown, now_ms):
+    def _offer(self, jobs, everyone, grown, now_ms):
         """Send the ready tasks of some jobs as far as workers have room.
 
         Jobs that were already offered to the whole fleet are offered only to the
@@ -140,12 +142,15 @@
         unplaced = 0
         for job in jobs:
             if unplaced < _MAX_UNPLACED_JOBS:
-                workers = grown if job.was_offered else tuple(self._fleet)
+                workers = grown if job.was_offered else everyone
+                if workers is everyone:
+                    # The room elsewhere that a held task left may have been taken.
+                    job.forget_held()
                 job.was_offered = self._send_ready(job, workers, now_ms)
             if job.ready:
                 waiting.append(job)
                 # A job that waits for its rack left room that others may use.
-                unplaced += not any(task.is_held for task in job.ready)
+                unplaced += not job.is_held
             else:
                 self._queue.remove(job)
         return waiting
