Don't hold back a step for a task that a free worker of its rack may not run

Cause: once a task is held for its rack, the other tasks of its step are skipped as alike. A task that failed on a worker, or is a suspect, is excluded from workers that the others may use, so that room in their rack stayed idle. Change: such a task neither holds back the others nor is skipped with them. Evidence: the new scenario fails without the change (no task runs on the free worker).

--- a/features/locality.feature
+++ b/features/locality.feature
@@ -97,6 +97,14 @@
     And other jobs then fill rack 1 for 2000 ms
     Then it is refused within 240 ms
 
+  Scenario: A task that may not run on a free worker of its rack does not block others
+    Given a site of two racks with a remote penalty of 3
+    When one worker of rack 0 is full for 100 ms and the other for 2000 ms
+    And a job of 2 tasks of 200 ms needs rack 0
+    And its first task failed on the worker that is free first
+    And the site runs on for 110 ms
+    Then it runs in rack 0
+
   Scenario: A task whose rack has no worker runs elsewhere at once
     Given a site of two racks with a remote penalty of 3
     When a job of 2 tasks of 200 ms needs rack 7
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -135,6 +135,22 @@
     context.runner.run(_submit(context, _TASKS_OF_RACK // 2, ms, rack, 2 * _TASK_CPU))
 
 
+@when(
+    "one worker of rack {rack:d} is full for {ms:d} ms and the other for {more_ms:d} ms"
+)
+def step_full_in_turn(context, rack, ms, more_ms):
+    context.runner.run(_submit(context, 1, ms, rack, 2 * _TASK_CPU))
+    context.first_free = _workers_of(context, context.submission)
+    context.runner.run(_submit(context, 1, more_ms, rack, 2 * _TASK_CPU))
+
+
+@when("its first task failed on the worker that is free first")
+def step_failed_on(context):
+    _, entry = context.site.entries[-1]
+    task = _owned_job(entry, context.submission).ready[0]
+    task.failed_on.update(worker.identity.incarnation for worker in context.first_free)
+
+
 @when("other jobs then fill rack {rack:d} for {ms:d} ms")
 def step_fill(context, rack, ms):
     before = context.calls[-1]
@@ -144,6 +160,11 @@
     assert racks == {(_rack_name(rack),)}, racks
 
 
+@when("the site runs on for {ms:d} ms")
+def step_pass(context, ms):
+    context.runner.run(asyncio.sleep(ms / 1000))
+
+
 @given("the workers of rack {rack:d} are known to take half as long")
 def step_fast(context, rack):
     _, entry = context.site.entries[-1]
@@ -309,6 +330,10 @@
     ]
 
 
+def _owned_job(entry, submission):
+    return entry._jobs[submission.job_id]
+
+
 @then("{inside:d} attempts were sent inside and {outside:d} outside of their rack")
 def step_counted(context, inside, outside):
     context.runner.run(_last_outcome(context))
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -106,6 +106,11 @@
         """Return whether it is not to be sent again, as it was lost at each start."""
         return self.unproven_crashes >= _MAX_UNPROVEN_CRASHES
 
+    @property
+    def has_own_exclusions(self):
+        """Return whether fewer workers may run it than others of its step."""
+        return self.is_suspect or bool(self.failed_on)
+
     def await_verdict(self, worker, now_ms):
         """Hold it back, if it is a suspect, until it is known whether a worker crashed.
 
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -165,7 +165,7 @@
         were_offered = True
         held_step = None
         for number, task in enumerate(job.ready):
-            if task.step is held_step:
+            if task.step is held_step and not task.has_own_exclusions:
                 waiting.append(task)
             elif not self._dispatcher.may_send(task):
                 were_offered = False
@@ -173,7 +173,8 @@
             elif self._send(task, workers, now_ms):
                 continue
             elif task.is_held:
-                held_step = task.step
+                if not task.has_own_exclusions:
+                    held_step = task.step
                 waiting.append(task)
             elif task.is_suspect:
                 # Others may have room where no further suspect may start.
