Place as before at the cost of before while no rack is wanted

Cause: wanted_racks unpacks a cost and looks up the labels of each candidate, also in deployments without racks and without coordination. Change: without wanted racks and without spreading, it calls fast_first. Evidence: one choice among 2,300 candidates took 5.9 ms where fast_first took 1.4 ms; now 0.63 and 0.65 ms (the machine ran about twice as fast in the second run). With 210 wanted racks it still takes 5 times as long as fast_first. No new test: the scenario that compares the choices with those before covers the branch, and a test of the time would depend on the machine. Run: behave features/locality.feature, 32 scenarios passed.

--- a/packages/dispatch/src/jujubeglade/direct/placement.py
+++ b/packages/dispatch/src/jujubeglade/direct/placement.py
@@ -123,10 +123,14 @@
     Workers that are wanted less by other tasks go before faster ones. If entries
     coordinate, each prefers workers with about the same room in an order of its own.
     """
+    if not request.racks and not request.spread_as:
+        return fast_first(workers, request, now_ms)
 
     def cost(worker):
         far_from_data, *others, room = _fast_first_cost(worker, request, now_ms)
-        wanted = locality.avoidance(request.racks, request.rack, worker.room.labels)
+        wanted = 0
+        if request.racks:
+            wanted = locality.avoidance(request.racks, request.rack, worker.room.labels)
         if request.spread_as:
             room = spreading.order(
                 request.spread_as,
