Say in three comments of locality what they mean

'Is avoided no more' reads as if a rack in high demand were not avoided; 'held back' also means a task that waits for its rack; 'data' of a task is what its rack holds. Comments only.

--- a/packages/dispatch/src/jujubeglade/direct/locality.py
+++ b/packages/dispatch/src/jujubeglade/direct/locality.py
@@ -20,7 +20,8 @@
 #: Demand is compared in steps of this share of the capacity of a rack. With steps of
 #: 0.25 and 0.5, fewer of the tasks that named a rack were in time.
 _DEMAND_STEP = 0.1
-#: A rack that is wanted more than this many times its capacity is avoided no more.
+#: Demand beyond this many times the capacity of a rack adds nothing to how strongly
+#: it is avoided.
 _MAX_DEMAND = 2.0
 
 
@@ -87,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
-    """The data of a task whose rack is full, while there is room outside of it.
+    """What decides whether a task waits for its full rack or uses room elsewhere.
 
     Attributes:
       slack_ms: A number, the time left for the task if its job is to be in time.
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -159,7 +159,7 @@
         """Send the ready tasks of a job as far as workers have room.
 
         Returns:
-          A boolean, false when a task was held back and so not offered.
+          A boolean, false when a task may not be sent yet, and so was not offered.
         """
         waiting = []
         were_offered = True
