--- a/features/offers.feature
+++ b/features/offers.feature
@@ -164,3 +164,63 @@
       | threshold | messages      |
       | 5         | the same      |
       | 4         | not the same  |
+
+  Scenario: A worker that accepts again is offered to one of those that wait
+    Given an agent with 8000 free of owners a:50 b:200 c d
+    And the worker accepts nothing
+    When a needs room by 40 ms
+    And 200 ms go by after a change of the room
+    And the worker accepts attempts
+    And 5 ms go by after a change of the state
+    Then the agent has shown room to a
+    When 12 ms go by at the agent
+    Then the agent has shown room to a b
+
+  Scenario: Shares of scarce room go to owners that can be reached
+    Given an agent with 3200 free of owners a b c d
+    And tasks of 1600 on average
+    And the link of a closes
+    When 45 ms go by after a change of the room
+    Then the agent has shown room to b
+    When 45 ms go by after a change of the room
+    Then the agent has shown room to b c
+
+  Scenario: An owner that never answers isn't waited for anew with each ended attempt
+    Given an agent with 8000 free of owners a:50 b:200 d
+    When an attempt of d ends
+    And 6 ms go by at the agent
+    And an attempt of d ends
+    And 6 ms go by at the agent
+    Then the agent has shown room to a a b
+
+  Scenario: A repeated need that took longer to arrive is not a decline
+    Given an agent with 8000 free of owners a:50 b:200 d
+    When an attempt of d ends
+    And 4 ms go by at the agent
+    And a needs room by 47 ms
+    Then the agent has shown room to a
+
+  Scenario: An owner that was asked before is offered room for more urgent work
+    Given an agent with 8000 free of owners d x y z a:50 b:200
+    And tasks of 4000 on average
+    When an attempt of d ends
+    And a declines
+    And b declines
+    And 70 ms go by at the agent
+    Then the agent has shown room to a b d
+    When a needs room by 60 ms
+    Then the agent has shown room to a b d a
+
+  Scenario: Nothing is withheld of a worker that has shrunk below what it runs
+    Given an agent with -500 free of owners a:50 d
+    When the agent refuses an attempt of d
+    Then the agent has last shown -500 free to d
+
+  Scenario Outline: A share of scarce room is shown first to the owner that needs it soonest
+    Then of owners a b:50 c:20 d, after <turn> shares, the order is <order>
+
+    Examples:
+      | turn | order   |
+      | 0    | c b a d |
+      | 1    | c b d a |
+      | 2    | c b a d |
--- a/features/steps/offers_steps.py
+++ b/features/steps/offers_steps.py
@@ -56,11 +56,14 @@
     context.shown = []
     context.metrics = metrics.open_metrics()
     context.last_room = {}
+    context.is_accepting = True
     context.owners = {}
     context.announcer = announcer.new_announcer(
         context.clock,
         context.owners,
-        lambda: _room(free, context.clock.now_ms()),
+        lambda: dataclasses.replace(
+            _room(free, context.clock.now_ms()), accepting=context.is_accepting
+        ),
         lambda: coordinates,
         context.metrics,
     )
@@ -87,7 +90,7 @@
 
 def _note_shown(context, name, body):
     context.last_room[name] = body.free.cpu - body.withheld_cpu
-    if context.last_room[name]:
+    if context.last_room[name] and body.accepting:
         context.shown.append(name)
 
 
@@ -109,6 +112,22 @@
         owner.task_cpu = cpu
 
 
+@given("the worker accepts nothing")
+def step_accept_none(context):
+    context.is_accepting = False
+
+
+@when("the worker accepts attempts")
+def step_accept(context):
+    context.is_accepting = True
+
+
+@when("{ms:d} ms go by after a change of the state")
+def step_state(context, ms):
+    _run(context, context.announcer.on_state_change)
+    step_pass(context, ms)
+
+
 @when("an attempt of {name} ends")
 def step_end(context, name):
     _run(context, context.announcer.on_room_change)
@@ -125,6 +144,7 @@
     _beat(context, name, float(ms))
 
 
+@given("the link of {name} closes")
 @when("the link of {name} closes")
 def step_close(context, name):
     context.owners[name].link.is_open = False
@@ -183,6 +203,11 @@
     assert shown == (free, other), shown
 
 
+@then("the agent has last shown {free:d} free to {name}")
+def step_last_free_of_one(context, free, name):
+    assert context.last_room[name] == free, context.last_room
+
+
 @then("the agent has last shown room to each of {names}")
 def step_last_shown(context, names):
     last = {name for name, free in context.last_room.items() if free}
@@ -385,3 +410,12 @@
     assert len(context.alone.messages) > 1000
     is_same = context.alone.messages == context.together.messages
     assert is_same == (messages == "the same"), messages
+
+
+@then("of owners {owners}, after {turn:d} shares, the order is {order}")
+def step_in_turn(context, owners, turn, order):
+    needs = []
+    for text in owners.split():
+        name, _, needed_by_ms = text.partition(":")
+        needs.append(offers.Need(name, float(needed_by_ms or math.inf), True))
+    assert offers.in_turn(needs, turn) == order.split()
