--- a/features/locality.feature
+++ b/features/locality.feature
@@ -81,6 +81,30 @@
       | the zone of rack 0 is evacuated        |
       | the workers of rack 0 shrink to 1 core |
 
+  Scenario: A task that waits for a fast worker of its rack is not refused as late
+    Given a site of two racks with a remote penalty of 3
+    And the workers of rack 0 are known to take half as long
+    When rack 0 is full for 230 ms
+    And a job of 1 tasks of 200 ms needs rack 0
+    Then it is completed within 440 ms
+    And 3 attempts were sent inside and 0 outside of their rack
+
+  Scenario: A task that was held for its rack is refused as late once all room is taken
+    Given a site of two racks with a remote penalty of 3
+    And the workers of rack 0 are known to take half as long
+    When rack 0 is full for 2000 ms
+    And a job of 1 tasks of 200 ms needs rack 0
+    And other jobs then fill rack 1 for 2000 ms
+    Then it is refused within 240 ms
+
+  Scenario: A task that may not run on a free worker of its rack does not block others
+    Given a site of two racks with a remote penalty of 3
+    When one worker of rack 0 is full for 100 ms and the other for 2000 ms
+    And a job of 2 tasks of 200 ms needs rack 0
+    And its first task failed on the worker that is free first
+    And the site runs on for 110 ms
+    Then it runs in rack 0
+
   Scenario: A task whose rack has no worker runs elsewhere at once
     Given a site of two racks with a remote penalty of 3
     When a job of 2 tasks of 200 ms needs rack 7
@@ -93,6 +117,12 @@
     And a job of 1 tasks of 100 ms needs no rack
     Then it runs in rack 1
 
+  Scenario: A route whose slack factor exceeds the remote penalty avoids no rack
+    Given a site of two racks with a remote penalty of 3
+    When a job of 2 tasks of 400 ms needs rack 0
+    And a job of 1 tasks of 100 ms of a route with slack factor 4 needs no rack
+    Then it runs in rack 0
+
   Scenario: An entry that has restarted runs tasks in their rack without knowing of demand
     Given a site of two racks with a remote penalty of 3
     When a job of 1 tasks of 400 ms needs rack 0
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -135,6 +135,45 @@
     context.runner.run(_submit(context, _TASKS_OF_RACK // 2, ms, rack, 2 * _TASK_CPU))
 
 
+@when(
+    "one worker of rack {rack:d} is full for {ms:d} ms and the other for {more_ms:d} ms"
+)
+def step_full_in_turn(context, rack, ms, more_ms):
+    context.runner.run(_submit(context, 1, ms, rack, 2 * _TASK_CPU))
+    context.first_free = _workers_of(context, context.submission)
+    context.runner.run(_submit(context, 1, more_ms, rack, 2 * _TASK_CPU))
+
+
+@when("its first task failed on the worker that is free first")
+def step_failed_on(context):
+    _, entry = context.site.entries[-1]
+    task = _owned_job(entry, context.submission).ready[0]
+    task.failed_on.update(worker.identity.incarnation for worker in context.first_free)
+
+
+@when("other jobs then fill rack {rack:d} for {ms:d} ms")
+def step_fill(context, rack, ms):
+    before = context.calls[-1]
+    context.runner.run(_submit(context, _TASKS_OF_RACK // 2, ms, None, 2 * _TASK_CPU))
+    context.calls.append(before)
+    racks = {worker.room.labels for worker in _workers_of(context, context.submission)}
+    assert racks == {(_rack_name(rack),)}, racks
+
+
+@when("the site runs on for {ms:d} ms")
+def step_pass(context, ms):
+    context.runner.run(asyncio.sleep(ms / 1000))
+
+
+@given("the workers of rack {rack:d} are known to take half as long")
+def step_fast(context, rack):
+    _, entry = context.site.entries[-1]
+    for worker in entry.fleet:
+        if _rack_name(rack) in worker.room.labels:
+            for _ in range(50):
+                worker.health.note_done(50, 100, context.site.clock.now_ms())
+
+
 @when("a job of {count:d} tasks of {ms:d} ms needs rack {rack:d}")
 def step_job(context, count, ms, rack):
     context.runner.run(_submit(context, count, ms, rack))
@@ -145,6 +184,15 @@
     context.runner.run(_submit(context, count, ms, None))
 
 
+@when(
+    "a job of {count:d} tasks of {ms:d} ms of a route with slack factor {slack:g} "
+    "needs no rack"
+)
+def step_job_of_route(context, count, ms, slack):
+    asked = dataclasses.replace(direct_site.ROUTE, slack_factor=slack)
+    context.runner.run(_submit(context, count, ms, None, asked=asked))
+
+
 @when("{jobs:d} jobs of {count:d} tasks of {ms:d} ms need rack {rack:d}")
 def step_jobs(context, jobs, count, ms, rack):
     for _ in range(jobs):
@@ -158,7 +206,7 @@
         context.runner.run(_last_outcome(context))
 
 
-async def _submit(context, count, ms, rack, cpu=_TASK_CPU):
+async def _submit(context, count, ms, rack, cpu=_TASK_CPU, asked=direct_site.ROUTE):
     submission = context.site.submission(count, cpu, ms, _TIMEOUT_MS)
     if rack is not None:
         name = _rack_name(rack)
@@ -167,14 +215,14 @@
             submission, steps=steps, spec=f"{submission.spec} {name}"
         )
     _, entry = context.site.entries[-1]
-    context.calls.append(asyncio.create_task(_timed(context, entry, submission)))
+    context.calls.append(asyncio.create_task(_timed(context, entry, submission, asked)))
     context.submission = submission
     await asyncio.sleep(0.005)
 
 
-async def _timed(context, entry, submission):
+async def _timed(context, entry, submission, asked):
     begin_ms = context.site.clock.now_ms()
-    outcome = await entry.submit(submission, direct_site.ROUTE)
+    outcome = await entry.submit(submission, asked)
     return outcome, context.site.clock.now_ms() - begin_ms
 
 
@@ -266,14 +314,24 @@
 
 @then("it runs in rack {rack:d}")
 def step_runs_in(context, rack):
+    workers = _workers_of(context, context.submission)
+    racks = [worker.room.labels for worker in workers]
+    assert racks == [(_rack_name(rack),)], racks
+
+
+def _workers_of(context, submission):
+    """List the workers that run the tasks of a job, one for each task."""
     _, entry = context.site.entries[-1]
-    racks = [
-        worker.room.labels
+    return [
+        worker
         for worker in entry.fleet
         for task in worker.assigned_tasks
-        if task.job_id == context.submission.job_id
+        if task.job_id == submission.job_id
     ]
-    assert racks == [(_rack_name(rack),)], racks
+
+
+def _owned_job(entry, submission):
+    return entry._jobs[submission.job_id]
 
 
 @then("{inside:d} attempts were sent inside and {outside:d} outside of their rack")
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -106,6 +106,11 @@
         """Return whether it is not to be sent again, as it was lost at each start."""
         return self.unproven_crashes >= _MAX_UNPROVEN_CRASHES
 
+    @property
+    def has_own_exclusions(self):
+        """Return whether fewer workers may run it than others of its step."""
+        return self.is_suspect or bool(self.failed_on)
+
     def await_verdict(self, worker, now_ms):
         """Hold it back, if it is a suspect, until it is known whether a worker crashed.
 
@@ -204,6 +209,16 @@
         """Return whether all tasks are done."""
         return not any(self.tasks_left)
 
+    @property
+    def is_held(self):
+        """Return whether a ready task waits for its rack; see `locality`."""
+        return any(task.is_held for task in self.ready)
+
+    def forget_held(self):
+        """Mark no ready task as waiting for its rack."""
+        for task in self.ready:
+            task.is_held = False
+
     @property
     def goes_first(self):
         """Return whether it gets workers before all jobs that have not started."""
