Name and explain the parts for hard load in plain terms

Comments, doc strings and private or local names only; behaviour, log fields, metrics and settings are unchanged.

- offers: the doc comment names the load without its measured values, which are in docs/design/HARD-LOAD.md, part 1.
The margin of equal needs refers to the margin of heartbeats instead of repeating its 20 ms.
`earlier_ms` could be read as "sooner"; it is the previous need.
- shedding: jobs are simulated, not "dealt out on paper".
The comment of the limit says what it bounds instead of the measured time of a decision (some tens of ms).
`_turn`, `_preference`, `lost` and `dealings` say what they are.
- lateness, rack_demand, heartbeats, acceptance: comments that needed a second reading, and private names that are verbs of another meaning (`_look`, `_waits`).
- queueing: the list `in_time` also holds late jobs that were deferred.
- bench and the platform's settings: `_near`, `placed`, `asked`, and two comments.

--- a/packages/bench/src/jujubeglade/bench/counter_load.py
+++ b/packages/bench/src/jujubeglade/bench/counter_load.py
@@ -260,12 +260,12 @@
     timeout_ms = min(most_ms, max(least_ms, timeout_ms))
     estimate = rng.lognormvariate(0.0, _ESTIMATE_SIGMA)
     submission = site.submission(count, cpu, run_ms, timeout_ms, estimate)
-    submission = _near(submission, load.rack(kind, at_s, rng))
+    submission = _with_rack(submission, load.rack(kind, at_s, rng))
     weight = count * run_ms * cpu / (kind.tasks * kind.run_ms * load.cpu)
     return _Request(kind, at_s, submission, objective_ms, weight)
 
 
-def _near(submission, rack):
+def _with_rack(submission, rack):
     """Return a submission whose data is in a rack; empty for everywhere."""
     if not rack:
         return submission
--- a/packages/bench/src/jujubeglade/bench/counters.py
+++ b/packages/bench/src/jujubeglade/bench/counters.py
@@ -105,11 +105,11 @@
         _BURST_S,
         racks=chosen.racks,
     )
-    asked = options.Options(
+    chosen_options = options.Options(
         _COORDINATE_FROM if coordinate else 0, chosen.variety.remote_penalty
     )
     with asyncio.Runner(loop_factory=virtual.VirtualLoop) as runner:
-        answers, violations = runner.run(play(chosen, load, seed, asked))
+        answers, violations = runner.run(play(chosen, load, seed, chosen_options))
     _print("all", answers)
     for kind, part in counter_load.split(
         answers, lambda answer: answer.kind.name
--- a/packages/bench/src/jujubeglade/bench/direct_soak.py
+++ b/packages/bench/src/jujubeglade/bench/direct_soak.py
@@ -29,7 +29,7 @@
 
 _ENTRIES = 3
 _WORKERS = 4
-#: The parts that coordinate entries come and go as entries are killed and restarted.
+#: All entries, so that coordination stops and starts as they are killed and restarted.
 _COORDINATE_FROM = 3
 _ARRIVAL_GAP_MS = (20.0, 120.0)
 _CLIENT_TIMEOUT_MS = 4000
--- a/packages/bench/src/jujubeglade/fakes/direct_site.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_site.py
@@ -404,11 +404,11 @@
     site = Site(seed, options)
     for zone in zones:
         site.add_entry(zone)
-    placed = sorted(set(zones), key=zones.index)
+    distinct_zones = sorted(set(zones), key=zones.index)
     for index in range(nodes):
-        zone = placed[index % len(placed)]
+        zone = distinct_zones[index % len(distinct_zones)]
         node = await site.add_node(zone, int(cpu * variety.size(index)))
-        variety.apply(node.worker, zone, index // len(placed))
+        variety.apply(node.worker, zone, index // len(distinct_zones))
     site.ticker = asyncio.create_task(site.tick())
     await asyncio.sleep(1.1)
     return site
--- a/packages/dispatch/src/jujubeglade/direct/acceptance.py
+++ b/packages/dispatch/src/jujubeglade/direct/acceptance.py
@@ -35,8 +35,8 @@
     Attributes:
       outcome: An Outcome; None for a job that is accepted.
       inputs: A dict, what the refusal rests on, for the log.
-      displaced: A tuple of pairs of an OwnedJob, which is refused for the new one, and
-        of its time in ms after which its client may retry.
+      displaced: A tuple of pairs of an OwnedJob that is refused for the new one, and a
+        number, the time in ms after which its client may retry.
     """
 
     outcome: object = None
@@ -91,7 +91,7 @@
         self._queue_key_by_priority = policy.find("queueing", "priority_start")
         self._guard = shedding.Guard()
         self._lateness = lateness.Lateness()
-        # The latest forecast of when there is room.
+        # The time after which there is room, as of the latest verdict.
         self._room_after_ms = 0.0
 
     @property
@@ -206,7 +206,7 @@
         return self._shed(job, forecast, plan, verdict)
 
     def _refuse_by_level(self, job, level):
-        """Refuse a job as accepted ones started too late."""
+        """Refuse a job because too many accepted ones started too late."""
         priority = job.route.priority
         _log.info(
             "load shed",
--- a/packages/dispatch/src/jujubeglade/direct/announcer.py
+++ b/packages/dispatch/src/jujubeglade/direct/announcer.py
@@ -91,10 +91,10 @@
           owner: An Owner.
           beat: A Beat.
         """
-        earlier_ms = owner.room_needed_by_ms
+        previous_need_ms = owner.room_needed_by_ms
         owner.note_beat(beat, self._clock.now_ms())
         if self._coordinates():
-            self._offers.on_need(owner, earlier_ms)
+            self._offers.on_need(owner, previous_need_ms)
 
     def send_heartbeats(self):
         """Send the room to all owners, unless that was done within the interval."""
--- a/packages/dispatch/src/jujubeglade/direct/heartbeats.py
+++ b/packages/dispatch/src/jujubeglade/direct/heartbeats.py
@@ -17,8 +17,8 @@
 _MIN_NEED_INTERVAL_MS = 10
 #: The same for each agent to which it is announced.
 _NEED_INTERVAL_PER_AGENT_MS = 1
-#: Where entries coordinate, as many agents as this are told at a time, which is no more
-#: messages than telling all of them at their interval.
+#: Where entries coordinate, so many agents are told at a time, which bounds the rate of
+#: messages as telling all agents at their interval does.
 _AGENTS_AT_A_TIME = _MIN_NEED_INTERVAL_MS // _NEED_INTERVAL_PER_AGENT_MS
 #: An agent isn't told of a need that differs by less than this: the order of entries
 #: hardly changes by it.
@@ -141,13 +141,14 @@
     def _announce_to_some(self):
         """Tell some agents that room is needed sooner than they know.
 
-        Urgent work can't wait until it is the turn of all agents. Those that are told
-        are the ones that have the latest need on record.
+        All agents at once can only be told at an interval that grows with their number,
+        which is too long for urgent work. Those that were told of the latest need come
+        first.
         """
         needed_by_ms = self._scheduler.room_needed_by_ms()
         now_ms = self._clock.now_ms()
-        is_soon = now_ms - self._announced_ms < _MIN_NEED_INTERVAL_MS
-        if needed_by_ms == math.inf or is_soon:
+        is_too_soon = now_ms - self._announced_ms < _MIN_NEED_INTERVAL_MS
+        if needed_by_ms == math.inf or is_too_soon:
             return
         self._announced_ms = now_ms
         outdated = [
--- a/packages/dispatch/src/jujubeglade/direct/lateness.py
+++ b/packages/dispatch/src/jujubeglade/direct/lateness.py
@@ -10,17 +10,18 @@
 import dataclasses
 import zlib
 
-#: So many accepted jobs may start too late; an answer that comes too late has cost room
-#: that another job could have used.
-_LATE_SHARE = 0.1
-#: Late starts count for half after this time: a few answers of urgent jobs per entry.
+#: The share of accepted jobs that may start too late; a late answer has cost room that
+#: another job could have used.
+_MAX_LATE_SHARE = 0.1
+#: Counts of starts lose half their weight in this time, in which an entry answers a few
+#: urgent jobs.
 _HALF_LIFE_MS = 700.0
-#: How fast the admitted share falls, for each part of late starts above the bound, and
-#: how fast it rises again, per second. A burst lasts some seconds, so a whole recovery
-#: takes no longer.
+#: How fast the admitted share falls per second, times the late share above its bound,
+#: and how fast it rises again. A burst lasts some seconds, so a whole recovery takes no
+#: longer.
 _FALL_PER_S = 1.0
 _RISE_PER_S = 0.4
-_LEAST_SHARE = 0.1
+_MIN_ADMITTED_SHARE = 0.1
 #: The mix of arriving work by priority is counted with this half-life.
 _MIX_HALF_LIFE_MS = 2000.0
 
@@ -106,10 +107,10 @@
           work: A number, in core-milliseconds.
           now_ms: A number, the monotonic clock.
         """
-        kept = 0.5 ** ((now_ms - self._mix_ms) / _MIX_HALF_LIFE_MS)
+        decay = 0.5 ** ((now_ms - self._mix_ms) / _MIX_HALF_LIFE_MS)
         self._mix_ms = now_ms
         for other in self._mix:
-            self._mix[other] *= kept
+            self._mix[other] *= decay
         self._mix[priority] = self._mix.get(priority, 0.0) + work
         self._adapt(now_ms)
 
@@ -142,11 +143,11 @@
 
     def _adapt(self, now_ms):
         passed_ms = min(now_ms - self._updated_ms, _HALF_LIFE_MS)
-        kept = 0.5 ** (passed_ms / _HALF_LIFE_MS)
+        decay = 0.5 ** (passed_ms / _HALF_LIFE_MS)
         self._updated_ms = now_ms
-        excess = self._late_share() - _LATE_SHARE
+        excess = self._late_share() - _MAX_LATE_SHARE
         rate = -_FALL_PER_S * excess if excess > 0 else _RISE_PER_S
         self._admitted += rate * passed_ms / 1000
-        self._admitted = min(1.0, max(_LEAST_SHARE, self._admitted))
-        self._late *= kept
-        self._started *= kept
+        self._admitted = min(1.0, max(_MIN_ADMITTED_SHARE, self._admitted))
+        self._late *= decay
+        self._started *= decay
--- a/packages/dispatch/src/jujubeglade/direct/offers.py
+++ b/packages/dispatch/src/jujubeglade/direct/offers.py
@@ -3,9 +3,8 @@
 Under overload, an owner that is offered room may no longer need it, as its jobs have
 found room elsewhere or have been refused. Without a further offer the room stays idle
 until the next announcement, although other owners wait. Room that is shown to all at
-once is wanted by all at once, and most of their attempts are refused. This answers a
-load of 1.5 times the usual one at 12 entries, which without it serve 0.84 to 0.89 of
-its value, where one entry alone serves 0.98.
+once gets attempts from all at once, most of which are refused. This answers a lasting
+load of more than the workers can run, at entries that share these workers.
 
 The agent decides for its own worker; see docs/design/offers.md.
 """
@@ -21,11 +20,12 @@
 #: An entry answers an offer within this time, or the room is offered to the next one:
 #: a round trip between zones and a round of its scheduler.
 _ANSWER_MS = 10
-#: An owner that is shown a part of the free room is shown as much as this many of its
-#: tasks need, as sizes vary and a task can't use half of its needs.
+#: An owner that is shown a part of the free room is shown as much as this many average
+#: tasks need: sizes vary, and a task runs only where all of its needs fit.
 _TASKS_PER_SHARE = 2
 #: A need that is sooner or later by less than this is the same one: heartbeats repeat
-#: it, and each takes a different time. Entries announce differences above 20 ms.
+#: it, and their transit times vary. It is below the margin at which entries announce a
+#: change (`heartbeats`).
 _SAME_NEED_MS = 10
 #: Offers are logged at most once in this time by an agent.
 _LOG_INTERVAL_MS = 1000
@@ -143,7 +143,7 @@
         self._choose = policy.find("offers", "soonest_need")
         # The incarnations of the owners that the present room was offered to.
         self._offered = set()
-        # The incarnations of those that were shown a share; None if all see all.
+        # The incarnations of those that are shown a share; None if all see all.
         self._viewers = None
         # The number of shares shown so far, so that owners get them in turn.
         self._turn = 0
@@ -161,22 +161,22 @@
         self._offered.clear()
         self._open(first, "freed")
 
-    def on_need(self, owner, earlier_ms):
+    def on_need(self, owner, previous_need_ms):
         """Offer free room after an owner has told of its need.
 
         Args:
           owner: An Owner.
-          earlier_ms: A number, by when it needed room before.
+          previous_need_ms: A number, by when it needed room before.
         """
-        if owner.room_needed_by_ms - earlier_ms > _SAME_NEED_MS:
+        if owner.room_needed_by_ms - previous_need_ms > _SAME_NEED_MS:
             if owner.identity.incarnation in self._offered:
                 owner.offered_until_ms = 0.0
-                self._pass_on("declined")
-        elif earlier_ms - owner.room_needed_by_ms > _SAME_NEED_MS:
-            # It was asked for work that could wait longer, or for none.
+                self._offer_to_next("declined")
+        elif previous_need_ms - owner.room_needed_by_ms > _SAME_NEED_MS:
+            # The owner weighed the offer for work that could wait longer, or for none.
             self._offered.discard(owner.identity.incarnation)
             if self._timer is None:
-                self._pass_on("needed")
+                self._offer_to_next("needed")
 
     def announced(self, room):
         """Choose what each owner is shown at an announcement.
@@ -192,9 +192,9 @@
             # accepts attempts again; it would be shown to none of those that wait.
             self._open_next("announced", room)
         self._divide(room.free.cpu)
-        is_claimed = self._is_claimed()
+        is_awaited = self._is_awaited()
         return [
-            (owner, self._visible(owner, room, is_claimed))
+            (owner, self._visible(owner, room, is_awaited))
             for owner in self._owners.values()
         ]
 
@@ -208,10 +208,10 @@
         Returns:
           A Room.
         """
-        return self._visible(owner, room, self._is_claimed())
+        return self._visible(owner, room, self._is_awaited())
 
     def _divide(self, free_cpu):
-        """Choose the owners that are shown a share of room that none has claimed."""
+        """Choose the owners that are shown a share of room that no owner waits for."""
         needs = list(self._needs())
         count = count_shares(free_cpu, self._task_cpu(), len(needs))
         if count >= len(needs):
@@ -220,21 +220,21 @@
         self._viewers = set(in_turn(needs, self._turn)[:count])
         self._turn += count
 
-    def _is_claimed(self):
+    def _is_awaited(self):
         """Return whether an owner waits that the present room was not offered to."""
         return self._choose(self._needs()) is not None
 
-    def _visible(self, owner, room, is_claimed):
+    def _visible(self, owner, room, is_awaited):
         free_cpu = room.free.cpu
-        visible_cpu = self._visible_cpu(owner, free_cpu, is_claimed)
+        visible_cpu = self._visible_cpu(owner, free_cpu, is_awaited)
         # The free room is negative while a worker that has shrunk runs too much.
         withheld_cpu = max(0, free_cpu - visible_cpu)
         return dataclasses.replace(room, withheld_cpu=withheld_cpu)
 
-    def _visible_cpu(self, owner, free_cpu, is_claimed):
+    def _visible_cpu(self, owner, free_cpu, is_awaited):
         is_offered = self._is_open(owner)
         left_cpu = free_cpu - self._held_cpu(owner)
-        if left_cpu <= 0 or (is_claimed and not is_offered):
+        if left_cpu <= 0 or (is_awaited and not is_offered):
             return 0
         if is_offered or self._viewers is None:
             return left_cpu
@@ -260,8 +260,8 @@
         self._metrics.count(metrics_.Counter.OFFERED, cause)
         if self._timer is not None:
             if self._is_open(owner):
-                # An owner that doesn't answer would keep room idle for as long as
-                # attempts end more often than it is waited for.
+                # The time-out isn't extended: if attempts end at shorter intervals, an
+                # owner that doesn't answer would keep the room idle.
                 return
             self._timer.cancel()
         owner.offered_until_ms = self._clock.now_ms() + _ANSWER_MS
@@ -270,9 +270,9 @@
 
     def _on_unanswered(self):
         self._timer = None
-        self._pass_on("unanswered")
+        self._offer_to_next("unanswered")
 
-    def _pass_on(self, cause):
+    def _offer_to_next(self, cause):
         """Send the free room to the next owner that waits for room."""
         room = self._describe()
         owner = self._open_next(cause, room)
--- a/packages/dispatch/src/jujubeglade/direct/queueing.py
+++ b/packages/dispatch/src/jujubeglade/direct/queueing.py
@@ -97,17 +97,17 @@
           that are late and have not started.
         """
         started = []
-        in_time = []
+        waiting = []
         late = []
         self._defer_late(now_ms)
         for job in self._jobs:
             if job.goes_first:
                 started.append(job)
             elif job.is_deferred or job.can_be_in_time(now_ms):
-                in_time.append(job)
+                waiting.append(job)
             else:
                 late.append(job)
-        return started + in_time, late
+        return started + waiting, late
 
     def _defer_late(self, now_ms):
         """Give the weighed jobs that have started and are late their later keys."""
--- a/packages/dispatch/src/jujubeglade/direct/rack_demand.py
+++ b/packages/dispatch/src/jujubeglade/direct/rack_demand.py
@@ -1,4 +1,4 @@
-"""What one entry knows of the racks that its tasks ask for, and decides by it.
+"""The demand for racks that one entry has seen, and its decisions that depend on it.
 
 The state is soft: an entry that restarts has seen no demand, and learns it again from
 the jobs of the next second.
@@ -22,13 +22,13 @@
 
     __slots__ = (
         "_cluster_state",
+        "_computed_ms",
         "_demands",
         "_fleet",
         "_metrics",
         "_penalty",
         "_racks",
-        "_racks_ms",
-        "_waits",
+        "_should_wait",
     )
 
     def __init__(self, fleet, cluster_state, metrics, options):
@@ -44,11 +44,11 @@
         self._cluster_state = cluster_state
         self._metrics = metrics
         self._penalty = options.remote_penalty
-        self._waits = policy.find("locality", "in_time")
+        self._should_wait = policy.find("locality", "in_time")
         self._demands = {}
         # The Racks by service and name as they were at one time on the monotonic clock.
         self._racks = _NO_RACKS
-        self._racks_ms = -math.inf
+        self._computed_ms = -math.inf
 
     def note(self, job, now_ms):
         """Count the work of a job that arrives, whether or not it is accepted.
@@ -65,7 +65,7 @@
                 demand = self._demands.get(key, locality.Demand())
                 work = step.count * step.needs.cpu * step.estimate_ms
                 self._demands[key] = demand.plus(work, now_ms)
-                self._racks_ms = -math.inf
+                self._computed_ms = -math.inf
 
     def racks(self, service, now_ms):
         """Return the racks that tasks lately asked for.
@@ -81,13 +81,13 @@
         """
         if not self._demands:
             return _NO_RACKS
-        if self._racks_ms != now_ms:
-            self._racks_ms = now_ms
-            self._racks = self._look(now_ms)
+        if self._computed_ms != now_ms:
+            self._computed_ms = now_ms
+            self._racks = self._compute_racks(now_ms)
         return self._racks.get(service, _NO_RACKS)
 
-    def _look(self, now_ms):
-        """Drop the demand of long ago, and add up the workers of the other racks.
+    def _compute_racks(self, now_ms):
+        """Drop outdated demand, and add up the capacity of the racks that are left.
 
         Returns:
           A dict from services to dicts from names to Racks.
@@ -171,7 +171,7 @@
             self._inside_ms(task, excluded, now_ms),
             self.expected_ms(task, worker) * worker.health.slowdown(now_ms),
         )
-        task.is_held = self._waits(wait)
+        task.is_held = self._should_wait(wait)
         if task.is_held and not task.was_held:
             task.was_held = True
             self._log_held(task, worker, wait, now_ms)
--- a/packages/dispatch/src/jujubeglade/direct/shedding.py
+++ b/packages/dispatch/src/jujubeglade/direct/shedding.py
@@ -1,10 +1,10 @@
 """Load shedding: which waiting jobs give way when not all can be in time.
 
-This answers overload by jobs that differ in urgency, size and slack. The jobs are dealt
-out on paper in their order. When one would be late, the job that costs callers least
-for the room that it frees is dropped from those up to the late one, until all others
-are in time; this is the rule of Moore and Hodgson for the least number of late jobs,
-with weights. Dropped jobs that turn out to fit are taken back.
+This answers overload by jobs that differ in urgency, size and slack. The assignment of
+the jobs in their order is simulated. When one would be late, the job that costs callers
+least for the room that it frees is dropped from those up to the late one, until all
+others are in time; this is the rule of Moore and Hodgson for the least number of late
+jobs, with weights. Dropped jobs that turn out to fit are taken back.
 
 A job of which an attempt was ever sent is never dropped: its refusal would not be true.
 
@@ -31,10 +31,10 @@
 _LARGEST_SHARE = 0.1
 #: The step of the running estimate of the work above which a job is among the largest.
 _QUANTILE_STEP = 0.2
-#: So many tasks are dealt out for one decision, which takes some tens of milliseconds.
-#: Only a queue of thousands of tasks, as after a restart, reaches this; then the
-#: newcomer gives way if it would be late.
-_MAX_DEALT_TASKS = 20_000
+#: At most so many assignments of tasks are simulated for one decision, which bounds how
+#: long it holds up the event loop. Only a queue of thousands of tasks, as after a
+#: restart, reaches this; then the newcomer gives way if it would be late.
+_MAX_SIMULATED_TASKS = 20_000
 #: Callers that are refused return over at least this time: the header Retry-After tells
 #: whole seconds, so a shorter spread would send all of them back together.
 _MIN_SPREAD_MS = 1000.0
@@ -86,7 +86,7 @@
     Returns:
       A Verdict.
     """
-    order = sorted((*plan.waiting, plan.newcomer), key=_turn)
+    order = sorted((*plan.waiting, plan.newcomer), key=_queue_position)
     ends = _ends_ms(plan, order)
     late = [claim for claim in order if _is_late(claim, ends)]
     newcomer_end_ms = ends[plan.newcomer.job_id]
@@ -113,7 +113,7 @@
     return room_after_ms + part * max(_MIN_SPREAD_MS, room_after_ms)
 
 
-def _turn(claim):
+def _queue_position(claim):
     """Return the sort key of a job in the order in which jobs get workers."""
     return claim.key, claim.arrived_ms
 
@@ -135,16 +135,16 @@
     """
     kept = list(order)
     dropped = []
-    # Jobs that can't be dropped and are late whatever is dropped.
-    lost = set()
-    dealings = _MAX_DEALT_TASKS // max(1, sum(len(claim.loads) for claim in order))
+    # The ids of jobs that are late whatever is dropped.
+    unavoidably_late = set()
+    max_drops = _MAX_SIMULATED_TASKS // max(1, sum(len(claim.loads) for claim in order))
     while True:
         ends = _ends_ms(plan, kept)
         late = next(
             (
                 number
                 for number, claim in enumerate(kept)
-                if claim.job_id not in lost and _is_late(claim, ends)
+                if claim.job_id not in unavoidably_late and _is_late(claim, ends)
             ),
             None,
         )
@@ -156,11 +156,11 @@
             if not claim.may_have_started and not claim.is_overdue
         ]
         if not candidates:
-            lost.add(kept[late].job_id)
+            unavoidably_late.add(kept[late].job_id)
             continue
-        if len(dropped) >= max(1, dealings):
+        if len(dropped) >= max(1, max_drops):
             return _without_late_newcomer(plan, kept, dropped, ends)
-        victim = min(candidates, key=_preference)
+        victim = min(candidates, key=_drop_order)
         kept.remove(victim)
         dropped.append(victim)
 
@@ -174,7 +174,7 @@
     return kept, dropped
 
 
-def _preference(claim):
+def _drop_order(claim):
     """Return the sort key of jobs to drop: cheapest first, then the last to arrive."""
     return delay_cost.relief_cost(claim), -claim.arrived_ms
 
@@ -183,8 +183,8 @@
     """Take back dropped jobs that fit beside the kept ones, the costliest first."""
     rest = []
     late = _late_ids(plan, kept)
-    for claim in sorted(dropped, key=_preference, reverse=True):
-        trial = sorted((*kept, claim), key=_turn)
+    for claim in sorted(dropped, key=_drop_order, reverse=True):
+        trial = sorted((*kept, claim), key=_queue_position)
         if _late_ids(plan, trial) <= late:
             kept = trial
         else:
@@ -198,7 +198,7 @@
 
 
 def _ends_ms(plan, order):
-    """Deal out the tasks of jobs in order as room becomes free.
+    """Simulate the assignment of the tasks of jobs in order as room becomes free.
 
     Returns:
       A dict from the ids of the jobs to the time until their last task ends.
@@ -208,13 +208,13 @@
     heapq.heapify(busy)
     now_ms = 0.0
     ends = {}
-    newcomer_turn = _turn(plan.newcomer)
+    newcomer_position = _queue_position(plan.newcomer)
     elsewhere = plan.elsewhere
     for claim in order:
         end_ms = 0.0
         own = claim.loads
         others = ()
-        if elsewhere and _turn(claim) >= newcomer_turn:
+        if elsewhere and _queue_position(claim) >= newcomer_position:
             others, elsewhere = elsewhere, ()
         for number, load in enumerate((*others, *own)):
             while free_cpu < load.cpu and busy:
