--- a/features/steps/load_shedding_steps.py
+++ b/features/steps/load_shedding_steps.py
@@ -112,12 +112,12 @@
 
 @then("the next job of priority {priority:d} is accepted even if it would be late")
 def step_overdue(context, priority):
-    assert context.guard.is_overdue(_route(f"route-{priority}", priority))
+    assert context.guard.is_underserved(_route(f"route-{priority}", priority))
 
 
 @then("the next job of priority {priority:d} isn't")
 def step_not_overdue(context, priority):
-    assert not context.guard.is_overdue(_route(f"route-{priority}", priority))
+    assert not context.guard.is_underserved(_route(f"route-{priority}", priority))
 
 
 @given("{count:d} jobs that are refused while room is forecast after {ms:d} ms")
--- a/packages/dispatch/src/jujubeglade/direct/acceptance.py
+++ b/packages/dispatch/src/jujubeglade/direct/acceptance.py
@@ -35,8 +35,8 @@
     Attributes:
       outcome: An Outcome; None for a job that is accepted.
       inputs: A dict, what the refusal rests on, for the log.
-      displaced: A tuple of pairs of an OwnedJob, which is refused for the new one, and
-        of its time in ms after which its client may retry.
+      displaced: A tuple of pairs of an OwnedJob that is refused for the new one, and a
+        number, the time in ms after which its client may retry.
     """
 
     outcome: object = None
@@ -92,7 +92,7 @@
         self._guard = shedding.Guard()
         # By service: others use other workers, which may have room.
         self._lateness = collections.defaultdict(lateness.Lateness)
-        # The latest forecast of when there is room.
+        # The time after which there is room, as of the latest verdict.
         self._room_after_ms = 0.0
 
     @property
@@ -157,10 +157,10 @@
           job: An OwnedJob.
           now_ms: A number, the monotonic clock.
         """
-        if job.is_weighed and not job.is_overdue and not job.was_disturbed:
+        if job.is_weighed and not job.is_underserved and not job.was_disturbed:
             self._lateness[job.route.service].note_start(job.started_late, now_ms)
 
-    def refuse_late(self, job, now_ms):
+    def note_late_refusal(self, job, now_ms):
         """Note that a waiting job is refused as it can't be in time any more.
 
         Args:
@@ -191,7 +191,7 @@
         work = job.work
         job.is_weighed = True
         job.is_protected = self._guard.protects(job.route, work)
-        job.is_overdue = self._guard.is_overdue(job.route)
+        job.is_underserved = self._guard.is_underserved(job.route)
         arrival = job.arrival()
         if job.is_protected:
             arrival = dataclasses.replace(arrival, priority=0)
@@ -216,7 +216,7 @@
         return self._shed(job, forecast, plan, verdict)
 
     def _refuse_by_level(self, job, level):
-        """Refuse a job as accepted ones started too late."""
+        """Refuse a job because too many accepted ones started too late."""
         priority = job.route.priority
         _log.info(
             "load shed",
@@ -259,7 +259,7 @@
             route=job.route.name,
             priority=job.route.priority,
             protected=job.is_protected,
-            overdue=job.is_overdue,
+            underserved=job.is_underserved,
             refused=is_refused,
             displaced=" ".join(other.submission.job_id for other, _ in displaced),
             late=verdict.late,
@@ -302,7 +302,7 @@
             tuple(elsewhere.elements()),
             tuple(waiting),
             dataclasses.replace(
-                self._claim(job, job.accepted_ms), is_overdue=job.is_overdue
+                self._claim(job, job.accepted_ms), is_underserved=job.is_underserved
             ),
         )
 
--- a/packages/dispatch/src/jujubeglade/direct/delay_cost.py
+++ b/packages/dispatch/src/jujubeglade/direct/delay_cost.py
@@ -15,6 +15,8 @@
 _PRIORITY_RATIO = 4.0
 #: The cost of a core-millisecond of a protected job, above that of any priority.
 _PROTECTED_COST = 2.0
+#: The cost of refusing a job without work, which frees nothing: above any other.
+_FREES_NOTHING_COST = 4.0
 #: An answer later than this many times the objective no longer helps the caller.
 _USEFUL_FACTOR = 3.0
 
@@ -35,8 +37,8 @@
       may_have_started: A boolean, whether an attempt was ever sent.
       is_protected: A boolean, whether its route, or the largest jobs of it, were served
         too seldom lately.
-      is_overdue: A boolean, whether its priority was served worse lately than a lower
-        one, so that it is accepted even if it would be late.
+      is_underserved: A boolean, whether its priority was served worse lately than a
+        lower one, so that it is accepted even if it would be late.
     """
 
     job_id: str
@@ -49,7 +51,7 @@
     loads: tuple
     may_have_started: bool
     is_protected: bool
-    is_overdue: bool = False
+    is_underserved: bool = False
 
     @property
     def alone_ms(self):
@@ -57,22 +59,13 @@
         return max((load.remaining_ms for load in self.loads), default=0.0)
 
 
-def refusal_cost(claim):
-    """Return what refusing a job costs its caller; comparable among jobs.
-
-    Args:
-      claim: A Claim.
-    """
-    return _cost_of_core_ms(claim) * claim.work
-
-
 def relief_cost(claim):
     """Return the cost of refusing a job for each core-millisecond that it frees.
 
     Args:
       claim: A Claim.
     """
-    return refusal_cost(claim) / claim.work if claim.work else _PROTECTED_COST
+    return _cost_of_core_ms(claim) if claim.work else _FREES_NOTHING_COST
 
 
 def useful_ms(objective_ms):
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -527,7 +527,7 @@
         Args:
           job: An OwnedJob of which no task can have started.
         """
-        retry_after_ms = self._acceptance.refuse_late(job, self._clock.now_ms())
+        retry_after_ms = self._acceptance.note_late_refusal(job, self._clock.now_ms())
         self._refuse(job, "late before it could start", retry_after_ms)
 
     def send(self, task, worker, now_ms, candidates):
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -139,7 +139,7 @@
         "due_ms",
         "may_have_started",
         "is_deferred",
-        "is_overdue",
+        "is_underserved",
         "is_protected",
         "is_weighed",
         "key",
@@ -174,7 +174,7 @@
         #: Whether the starvation guard spares it (`shedding`).
         self.is_protected = False
         #: Whether it is accepted even if late, as its priority was served too seldom.
-        self.is_overdue = False
+        self.is_underserved = False
         #: Whether it was weighed against other jobs, so that it goes by its key alone.
         self.is_weighed = False
         #: Whether one of its attempts failed, or was lost with its start or its worker.
