--- a/features/steps/offers_steps.py
+++ b/features/steps/offers_steps.py
@@ -364,7 +364,7 @@
     "{entries:d} entries compete for {workers:d} workers, with and without coordination"
 )
 def step_compete(context, entries, workers):
-    chosen = counters.Fleet(entries, workers, _WORKER_CPU, 1600, 1.6)
+    chosen = counters.Fleet(entries, workers, _WORKER_CPU, 1600, 2.0)
     context.alone = _play(context, chosen, 4, options.NO_OPTIONS)
     context.together = _play(context, chosen, 4, options.Options(entries))
     context.site = types.SimpleNamespace(
