Test crowds of clients that don't finish their requests, as known red

The scenarios start the processes of a small site on loopback and let a crowd, a process of its own, send to one listener: bodies of legal size whole, in pieces and in chunks, all but their end, heads and lines without end, empty lines, nothing, jobs of many steps, compressed bodies, bodies behind a request in progress, answers that are not read. Each connection that is closed is opened again.

Checked, and nothing that depends on speed: the process lives; resident memory with the bytes received and not read, and descriptors, stay below those of the smallest machine in service (an entry 160 MB and 1,638, an agent 168 MB and 4,096); an ordinary job is completed and the entry is ready while the crowd stays, and when it has gone. No setting is lowered and no new one used, so the untouched code runs the same test.

`features.run` runs this feature alone, after all others.

--- a/features/run.py
+++ b/features/run.py
@@ -1,7 +1,8 @@
 """Run every feature and print one line of counts at the end.
 
 Each feature runs in its own process, a few at a time, the longest first; each process
-uses its own range of ports. Scenarios named in KNOWN-RED.txt are run and printed, and
+uses its own range of ports. Those that measure what a process holds follow, one at a
+time. Scenarios named in KNOWN-RED.txt are run and printed, and
 only they may fail.
 """
 
@@ -33,6 +34,9 @@
     "direct_soak",
 )
 
+#: Features that run apart from all others, after them.
+_FEATURES_ALONE = ("clients",)
+
 
 def known_red():
     """Read the names of the scenarios that are allowed to fail.
@@ -85,15 +89,18 @@
         run in one process.
 
     Returns:
-      A list of lists of arguments, one for each process of behave.
+      A pair of lists of lists of arguments, one for each process of behave: of those
+      that run side by side, and of those that run alone.
     """
     if arguments:
-        return [arguments]
-    paths = sorted((ROOT / "features").glob("*.feature"))
+        return [arguments], []
+    all_paths = sorted((ROOT / "features").glob("*.feature"))
+    alone = [path for path in all_paths if path.stem in _FEATURES_ALONE]
+    paths = [path for path in all_paths if path not in alone]
     slow = [ROOT / "features" / f"{name}.feature" for name in _SLOW_FEATURES]
     ordered = [path for path in slow if path in paths]
     ordered += [path for path in paths if path not in slow]
-    return [[str(path)] for path in ordered]
+    return [[str(path)] for path in ordered], [[str(path)] for path in alone]
 
 
 class PortRanges:
@@ -165,12 +172,11 @@
       An integer, the exit status: 0 if only scenarios of KNOWN-RED.txt failed.
     """
     port_ranges = PortRanges(_MAX_PROCESSES)
+    together, alone = behave_arguments(sys.argv[1:])
     with concurrent.futures.ThreadPoolExecutor(_MAX_PROCESSES) as pool:
-        futures = [
-            pool.submit(run, arguments, port_ranges)
-            for arguments in behave_arguments(sys.argv[1:])
-        ]
+        futures = [pool.submit(run, arguments, port_ranges) for arguments in together]
         outcomes = [future.result() for future in futures]
+    outcomes += [run(arguments, port_ranges) for arguments in alone]
     results = [result for process_results, _ in outcomes for result in process_results]
     crashed = any(process_crashed for _, process_crashed in outcomes)
     failed = [name for name, status in results if status not in ("passed", "skipped")]
