Bound the connections of all HTTP listeners in one place

Seen: 1,700 clients that connect and send nothing, or one request, or empty lines, take all descriptors of an entry, an agent or their readiness and metrics ports; an ordinary client isn't served, and the process can't open its own connections.

Cause: only the port of ticket jobs had a bound on connections. At that bound the newcomer was refused, which keeps such clients in and ordinary ones out; nothing ended a head that stalls after the first request, nor a body.

Change: `jujubeglade.core.inbound` holds what clients of a process may have, for every HTTP listener of all four roles. Each connection is a protocol of our own in front of the HTTP library; it knows whether its request is whole. At the bound the request that is furthest from whole for longest gives way (`_inbound_eviction`); one that is being served or that waits for its next request isn't touched, and beyond 7/8 of the bound connections close with their next answer. An unfinished request has `request_ms`. A listener accepts 16 connections a turn, so that the bound holds, and pauses when descriptors run out. The bounds follow from the VM's memory and descriptors, which the platform's template passes on (`inbound` in SETTINGS; the defaults are those of the smallest VM; the examples name theirs). Closed connections are counted, and logged once in 10 s. Errors of the HTTP library went to stderr with a traceback for each unreadable request; unreadable requests are counted now. The server of ticket jobs uses the same listener.

Why it works: a client that is served needs its place for milliseconds before its request is whole, so it is never the oldest unfinished one.

--- a/examples/generate.py
+++ b/examples/generate.py
@@ -13,6 +13,11 @@
 _WORKERS = 11
 _ENTRIES = 3
 _WORKERS_PER_RACK = 3
+#: The `inbound` settings of a role.
+_MACHINES = {
+    "entry": "{memory_mb: 300, max_descriptors: 4100}",
+    "agent": "{memory_mb: 168, max_descriptors: 4096}",
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +130,8 @@
         f'  rack: "{rack}",',
         "  // The same in every file of the deployment; replace it.",
         f'  cluster_key: "example-key-of-{deployment.folder}",',
+        "  // What the machine has for this process.",
+        f"  inbound: {_MACHINES[role]},",
     ]
 
 
--- a/features/crowd_rig.py
+++ b/features/crowd_rig.py
@@ -295,6 +295,7 @@
     def check(self):
         """Raise an AssertionError unless the process kept to its machine."""
         machine = self._machine
+        print(f"{self.peak_bytes // _MIB} MB, {self.peak_descriptors} descriptors")
         assert self._process.returncode is None, "the process has ended"
         assert self._crowd.returncode in (None, -signal.SIGKILL), "the crowd has failed"
         peak = f"{self.peak_bytes / _MIB:.0f} MB"
--- /dev/null
+++ b/features/inbound.feature
@@ -0,0 +1,34 @@
+Feature: Clients hold a bounded part of a process, and who gives way is decided in one place
+
+  Scenario Outline: For a new connection the request furthest from whole for longest gives way
+    Given unfinished requests at 10000 ms
+      | name     | missing | since_ms | held   |
+      | newcomer | 1.0     | 9990     | 0      |
+      | ordinary | 1.0     | 9900     | 300    |
+      | stalled  | 0.1     | 2000     | 262000 |
+      | silent   | 1.0     | 5000     | 0      |
+      | chunked  | 0.5     | 4000     | 90000  |
+    When room is made for a connection with a bound of <bound>
+    Then <names> give way
+
+    Examples: one of 32 connections at once, those that began within a second at last
+      | bound | names                   |
+      | 5     | silent                  |
+      | 64    | silent, chunked         |
+      | 320   | silent, chunked, stalled |
+
+  Scenario Outline: The bounds follow from what the machine has
+    When the bounds are computed for <memory> MB and <descriptors> descriptors
+    Then there are <connections> connections and <unfinished> MB of unfinished requests
+
+    Examples:
+      | memory | descriptors | connections | unfinished |
+      | 160    | 1638        | 938         | 22         |
+      | 160    | 1000        | 600         | 22         |
+      | 300    | 4100        | 2432        | 57         |
+      | 552    | 8192        | 5120        | 120        |
+
+  Scenario: Closed connections are logged once in ten seconds and all are counted
+    Given the closures of a process
+    When 500 connections are closed over 25 seconds
+    Then 500 are counted and 3 lines are logged
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -9,7 +9,7 @@
 
 import result
 
-from jujubeglade.core import clock
+from jujubeglade.core import clock, settings
 from jujubeglade.direct import (
     agent,
     contract,
@@ -41,11 +41,11 @@
     def read_evacuations(self, keys, revision):
         """Return None; the site offers the operators' views itself."""
 
-    def new_worker_client(self, settings):
+    def new_worker_client(self, settings, inbound):
         """Return the worker in the settings."""
         return settings.worker
 
-    def new_request_servers(self, settings, entry):
+    def new_request_servers(self, settings, entry, inbound):
         """Return None; clients call the entry itself."""
 
 
@@ -310,6 +310,7 @@
         contact_timeout_ms=3000,
         report_interval_ms=1500,
         coordinate_from=0,
+        inbound=settings.Inbound(),
         seeds=(),
         stream=types.SimpleNamespace(port=_PORT),
         worker=worker,
--- a/packages/core/src/jujubeglade/core/_settings_direct.py
+++ b/packages/core/src/jujubeglade/core/_settings_direct.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from jujubeglade.core import _settings_inbound as inbound_
 from jujubeglade.core import _settings_records as records
 from jujubeglade.core import _settings_rules as rules
 
@@ -50,6 +51,9 @@
         "scarce room; 0 for never.",
         0,
     )
+    inbound: inbound_.Inbound = rules.nested(
+        inbound_.Inbound, inbound_.DOC, required=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/src/jujubeglade/core/_settings_records.py
+++ b/packages/core/src/jujubeglade/core/_settings_records.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 
+from jujubeglade.core import _settings_inbound as inbound_
 from jujubeglade.core import _settings_rules as rules
 
 _KIB = 1024
@@ -163,6 +164,9 @@
         "The streams of all entries, by the entry's name; three are recommended."
     )
     limits: Limits = rules.nested(Limits, "Bounds; each has a default.", required=False)
+    inbound: inbound_.Inbound = rules.nested(
+        inbound_.Inbound, inbound_.DOC, required=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/src/jujubeglade/core/metrics.py
+++ b/packages/core/src/jujubeglade/core/metrics.py
@@ -46,6 +46,7 @@
     SENT = "stream_messages_sent"
     OFFERED = "room_offers"
     DECLINED = "room_declines"
+    CLOSED = "connections_closed"
 
 
 class Gauge(enum.StrEnum):
@@ -60,6 +61,9 @@
     WORKERS = "workers"
     REVISION = "configuration_revision"
     REQUESTS = "requests_in_progress"
+    CONNECTIONS = "connections_open"
+    UNFINISHED = "unfinished_request_bytes"
+    ACCEPTED = "accepted_request_bytes"
 
 
 _PREFIX = "jujubeglade_"
@@ -93,6 +97,10 @@
         (),
         "Answers to agents whose free room this entry needs later than announced.",
     ),
+    Counter.CLOSED: (
+        ("listener", "cause"),
+        "Connections of clients closed or refused at a bound, by cause.",
+    ),
 }
 _GAUGES = {
     Gauge.QUEUE: "Tasks that wait for a slot.",
@@ -104,6 +112,9 @@
     Gauge.WORKERS: "Agents that this entry hears from.",
     Gauge.REVISION: "Highest configuration revision applied here.",
     Gauge.REQUESTS: "Requests of clients and operators in progress.",
+    Gauge.CONNECTIONS: "Open connections of clients.",
+    Gauge.UNFINISHED: "Bytes received of requests that are not whole yet.",
+    Gauge.ACCEPTED: "Estimated bytes of accepted requests that are not answered yet.",
 }
 
 
--- a/packages/core/src/jujubeglade/core/metrics_page.py
+++ b/packages/core/src/jujubeglade/core/metrics_page.py
@@ -1,13 +1,14 @@
 """The page with the metrics of a process: GET /metrics.
 
     app = metrics_page.application(process_metrics, measure)
+    listener = await metrics_page.serve(app, address, inbound)
 
 Gauges are measured when the page is requested, not while the process works.
 """
 
 from aiohttp import web
 
-from jujubeglade.core import link, metrics
+from jujubeglade.core import inbound, link, metrics
 
 
 def application(process_metrics, measure):
@@ -46,17 +47,19 @@
     app.router.add_get("/metrics", show)
 
 
-async def serve(app, address):
+async def serve(app, address, process_inbound, name="metrics"):
     """Listen for requests to an application.
 
     Args:
       app: An aiohttp.web.Application.
       address: An Address of the settings.
+      process_inbound: The Inbound of the process.
+      name: A string, the name of the listener.
 
     Returns:
-      An aiohttp.web.AppRunner, with `addresses` to read and `cleanup` to call.
+      An HttpListener, with `port` to read and `close` to call.
     """
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
-    return runner
+    options = inbound.ListenerOptions(is_internal=True)
+    listener = process_inbound.new_listener(name, app, options)
+    await listener.open(address.host, address.port)
+    return listener
--- a/packages/core/src/jujubeglade/core/settings.py
+++ b/packages/core/src/jujubeglade/core/settings.py
@@ -18,6 +18,7 @@
 
 from jujubeglade.core import _settings_check as check
 from jujubeglade.core import _settings_direct as direct
+from jujubeglade.core import _settings_inbound as inbound_
 from jujubeglade.core import _settings_records as records
 from jujubeglade.core import _settings_relations as relations
 from jujubeglade.core import _settings_rules as rules
@@ -28,6 +29,7 @@
 DirectEntrySettings = direct.DirectEntrySettings
 EntryAddress = records.EntryAddress
 EntrySettings = records.EntrySettings
+Inbound = inbound_.Inbound
 Limits = records.Limits
 Settings = records.Settings
 Store = records.Store
--- a/packages/core/src/jujubeglade/core/settings_page.py
+++ b/packages/core/src/jujubeglade/core/settings_page.py
@@ -7,6 +7,7 @@
 import sys
 
 from jujubeglade.core import _settings_direct as direct
+from jujubeglade.core import _settings_inbound as inbound_
 from jujubeglade.core import _settings_records as records
 from jujubeglade.core import _settings_rules as rules
 
@@ -54,6 +55,7 @@
         sections.append(_section(f"Role `{role}`", _own(record, direct_common)))
     sections.append(_section("`store`", dataclasses.fields(records.Store)))
     sections.append(_section("`limits`", dataclasses.fields(records.Limits)))
+    sections.append(_section("`inbound`", dataclasses.fields(inbound_.Inbound)))
     return "\n".join(sections)
 
 
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 
-from aiohttp import web
-
 from jujubeglade.agent import (
     announce,
     executor,
@@ -18,6 +16,7 @@
 from jujubeglade.core import (
     audit,
     contract,
+    inbound,
     journal,
     link,
     log,
@@ -74,9 +73,12 @@
         self._links = {}
         self._tasks = set()
         self._server = None
-        self._runner = None
+        self._announcements = None
         self._status = status.Status(self)
-        self._status_runners = []
+        self._inbound = inbound.new_inbound(
+            settings.inbound, self._status.metrics, settings.limits.max_body_bytes
+        )
+        self._status_listeners = []
         self._logged_refusal = contract.RejectReason.NO_PERMIT
         self._stream_port = settings.stream.port
         self._announce_port = settings.announce.port
@@ -89,7 +91,7 @@
     @property
     def http_port(self):
         """Return the port of the status pages, once started."""
-        return self._status_runners[0].addresses[0][1]
+        return self._status_listeners[0].port
 
     def refusal(self):
         """Return why no task may start here.
@@ -132,11 +134,13 @@
             self.settings.limits.max_connections,
         )
         self._stream_port = self._server.port
-        self._runner = web.AppRunner(announce.application(self), access_log=None)
-        await self._runner.setup()
+        options = inbound.ListenerOptions(is_internal=True)
+        self._announcements = self._inbound.new_listener(
+            "announce", announce.application(self), options
+        )
         address = self.settings.announce
-        await web.TCPSite(self._runner, address.host, address.port).start()
-        self._announce_port = self._runner.addresses[0][1]
+        await self._announcements.open(address.host, address.port)
+        self._announce_port = self._announcements.port
         await self._serve_status()
         for entry_uplink in self._uplinks:
             self._spawn(entry_uplink.run())
@@ -171,9 +175,9 @@
             if entry_uplink.link is not None:
                 entry_uplink.link.close()
         await self._server.close()
-        await self._runner.cleanup()
-        for status_runner in self._status_runners:
-            await status_runner.cleanup()
+        await self._announcements.close()
+        for listener in self._status_listeners:
+            await listener.close()
         await self.executor.close_upstreams()
 
     def on_link(self, peer_link):
@@ -266,13 +270,15 @@
 
     async def _serve_status(self):
         """Open the port of the status pages and the one of the metrics."""
-        app = self._status.application()
-        http = await metrics_page.serve(app, self.settings.http)
-        self._status_runners.append(http)
+        app = self._status.application(self._inbound)
+        await self._serve_page("http", app, self.settings.http)
         if self.settings.metrics is not None:
-            app = self._status.metrics_application()
-            page = await metrics_page.serve(app, self.settings.metrics)
-            self._status_runners.append(page)
+            app = self._status.metrics_application(self._inbound)
+            await self._serve_page("metrics", app, self.settings.metrics)
+
+    async def _serve_page(self, name, app, address):
+        listener = await metrics_page.serve(app, address, self._inbound, name)
+        self._status_listeners.append(listener)
 
     def _log_refusal(self):
         """Log once when tasks may not start here, and once when they may again."""
--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -1,10 +1,12 @@
 """The HTTP interface by which upstreams announce themselves to their agent."""
 
+import json
 import secrets
 
 from aiohttp import web
 
 from jujubeglade.agent import upstream as upstreams
+from jujubeglade.core import http_body
 
 _LEASE_ID_BYTES = 8
 
@@ -18,7 +20,7 @@
     Returns:
       An aiohttp.web.Application.
     """
-    app = web.Application(client_max_size=agent.settings.limits.max_body_bytes)
+    app = web.Application()
     handlers = _Handlers(agent)
     app.router.add_post("/v1/announce", handlers.announce)
     app.router.add_post("/v1/renew", handlers.renew)
@@ -34,7 +36,7 @@
 
     async def announce(self, request):
         """Add an upstream."""
-        parsed = upstreams.parse_announcement(await _body(request))
+        parsed = upstreams.parse_announcement(await self._body(request))
         if parsed.is_err():
             return _error(400, str(parsed.err_value))
         lease = secrets.token_hex(_LEASE_ID_BYTES)
@@ -49,7 +51,7 @@
 
     async def renew(self, request):
         """Extend an upstream's lease."""
-        fields = await _body(request)
+        fields = await self._body(request)
         upstream = self._find(fields)
         if upstream is None:
             return _error(404, "the lease is not known; announce again")
@@ -61,7 +63,7 @@
 
     async def leave(self, request):
         """Give no more tasks to an upstream; running tasks are not cancelled."""
-        upstream = self._find(await _body(request))
+        upstream = self._find(await self._body(request))
         if upstream is None:
             return _error(404, "the lease is not known; nothing is sent to it")
         upstream.leaving = True
@@ -69,6 +71,13 @@
         self._agent.on_upstreams_changed()
         return web.json_response({"lease": upstream.lease, "running": upstream.running})
 
+    async def _body(self, request):
+        data = await http_body.read(request, self._agent.limits.max_body_bytes)
+        try:
+            return json.loads(data)
+        except (ValueError, RecursionError):
+            return None
+
     def _find(self, fields):
         lease = fields.get("lease") if isinstance(fields, dict) else None
         upstream = self._agent.executor.upstream(lease)
@@ -77,12 +86,5 @@
         return upstream
 
 
-async def _body(request):
-    try:
-        return await request.json()
-    except ValueError:
-        return None
-
-
 def _error(status, message):
     return web.json_response({"error": message}, status=status)
--- a/packages/dispatch/src/jujubeglade/agent/status.py
+++ b/packages/dispatch/src/jujubeglade/agent/status.py
@@ -28,24 +28,40 @@
         self._agent = agent
         self._metrics = metrics.open_metrics(_MAX_TENANTS)
 
-    def application(self):
+    @property
+    def metrics(self):
+        """Return the Metrics of the agent."""
+        return self._metrics
+
+    def application(self, inbound):
         """Create the web application of all pages.
 
+        Args:
+          inbound: The Inbound of the agent.
+
         Returns:
           An aiohttp.web.Application.
         """
-        app = self.metrics_application()
+        app = self.metrics_application(inbound)
         app.router.add_get("/health", self._health)
         app.router.add_get("/ready", self._ready)
         return app
 
-    def metrics_application(self):
+    def metrics_application(self, inbound):
         """Create the web application of the metrics alone.
 
+        Args:
+          inbound: The Inbound of the agent.
+
         Returns:
           An aiohttp.web.Application.
         """
-        return metrics_page.application(self._metrics, self._measure)
+
+        def measure():
+            inbound.measure()
+            self._measure()
+
+        return metrics_page.application(self._metrics, measure)
 
     async def _health(self, request):
         return web.json_response({"status": "ok"})
--- a/packages/dispatch/src/jujubeglade/direct/agent.py
+++ b/packages/dispatch/src/jujubeglade/direct/agent.py
@@ -42,7 +42,7 @@
           clock: A Clock.
         """
         super().__init__(settings, clock, "agent")
-        self._worker_client = self._platform.new_worker_client(settings)
+        self._worker_client = self._platform.new_worker_client(settings, self._inbound)
         # The owners by incarnation.
         self._owners = {}
         # The addresses of the entries that other agents serve.
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -55,7 +55,9 @@
             options.of_settings(settings),
             settings.name,
         )
-        self._request_servers = self._platform.new_request_servers(settings, self)
+        self._request_servers = self._platform.new_request_servers(
+            settings, self, self._inbound
+        )
         self._route_table = route_table.new_table(route.NO_CONFIGURATION)
         self._configuration_fetch = configuration_fetch.ConfigurationFetch(
             self._cluster_state,
--- a/packages/dispatch/src/jujubeglade/direct/platforms.py
+++ b/packages/dispatch/src/jujubeglade/direct/platforms.py
@@ -46,23 +46,25 @@
         """
 
     @abc.abstractmethod
-    def new_worker_client(self, settings):
+    def new_worker_client(self, settings, inbound):
         """Make the client for the worker beside an agent.
 
         Args:
           settings: A DirectAgentSettings.
+          inbound: The Inbound of the process, for the worker's reports.
 
         Returns:
           A WorkerClient.
         """
 
     @abc.abstractmethod
-    def new_request_servers(self, settings, entry):
+    def new_request_servers(self, settings, entry, inbound):
         """Make the servers for clients' requests; `open` starts them.
 
         Args:
           settings: A DirectEntrySettings.
           entry: The Entry that answers the requests.
+          inbound: The Inbound of the process.
 
         Returns:
           An object with the coroutines `open()` and `close()`.
--- a/packages/dispatch/src/jujubeglade/direct/process.py
+++ b/packages/dispatch/src/jujubeglade/direct/process.py
@@ -4,7 +4,7 @@
 peers, serve metrics, and cancel their tasks when they close.
 """
 
-from jujubeglade.core import link, metrics, metrics_page, store, ticket
+from jujubeglade.core import inbound, link, metrics, metrics_page, store, ticket
 from jujubeglade.direct import (
     background,
     cluster_state,
@@ -35,6 +35,7 @@
         self._platform = platforms.find(settings.platform)
         self._cluster_state = cluster_state.new_cluster_state()
         self._metrics = metrics.open_metrics()
+        self._inbound = inbound.new_inbound(settings.inbound, self._metrics)
         self._background = background.new_background()
         self._store = None
         self._page = None
@@ -54,8 +55,7 @@
             )
         ).unwrap()
         if self._settings.metrics is not None:
-            page = metrics_page.application(self._metrics, measure)
-            self._page = await metrics_page.serve(page, self._settings.metrics)
+            await self._serve_metrics(measure)
         for store_follower in self._followers():
             self._keep(store_follower.run)
 
@@ -63,9 +63,18 @@
         """Cancel the tasks, and close what `_open` opened."""
         await self._background.close()
         if self._page is not None:
-            await self._page.cleanup()
+            await self._page.close()
         await self._store.close()
 
+    async def _serve_metrics(self, measure):
+        def measure_all():
+            self._inbound.measure()
+            measure()
+
+        app = metrics_page.application(self._metrics, measure_all)
+        address = self._settings.metrics
+        self._page = await metrics_page.serve(app, address, self._inbound)
+
     def _followers(self):
         """Make the followers that keep the cluster state up to date."""
 
--- a/packages/dispatch/src/jujubeglade/entry/callers.py
+++ b/packages/dispatch/src/jujubeglade/entry/callers.py
@@ -7,7 +7,7 @@
 import result
 from aiohttp import web
 
-from jujubeglade.core import clock, job, metrics, ticket
+from jujubeglade.core import clock, http_body, job, metrics, ticket
 from jujubeglade.entry import intake, refusals, tokens
 
 _STATUS_RUNNING = 202
@@ -45,7 +45,7 @@
         tenant = self._tenant_tokens.name_of(request)
         if tenant is None:
             return self._refusals.unauthorized()
-        fields = await read_json(request)
+        fields = await read_json(request, self._entry.settings.limits.max_body_bytes)
         count = fields.get("count", 1) if isinstance(fields, dict) else 0
         max_count = self._entry.limits.tickets_per_request
         if type(count) is not int or not 1 <= count <= max_count:
@@ -64,7 +64,8 @@
         tenant = self._tenant_tokens.name_of(request)
         if tenant is None:
             return self._refusals.unauthorized()
-        fields = await read_json(request)
+        max_bytes = self._entry.settings.limits.max_body_bytes
+        fields = await read_json(request, max_bytes)
         parsed = intake.parse_submission(fields, tenant, self._entry.limits)
         if parsed.is_err():
             return self._refusals.refuse(*parsed.err_value, by=tenant)
@@ -153,21 +154,23 @@
         )
 
 
-async def read_json(request):
+async def read_json(request, max_bytes):
     """Read and decode the body of a request.
 
     Args:
       request: An aiohttp.web.Request.
+      max_bytes: An integer, the largest body to read.
 
     Returns:
       A value decoded from JSON, or None if the body isn't valid JSON.
 
     Raises:
       HTTPRequestTimeout: The body did not arrive in time.
+      HTTPRequestEntityTooLarge: The body is longer.
     """
     try:
         async with asyncio.timeout(clock.seconds(_BODY_TIMEOUT_MS)):
-            body = await request.read()
+            body = await http_body.read(request, max_bytes)
     except TimeoutError:
         raise web.HTTPRequestTimeout from None
     try:
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -10,6 +10,7 @@
     audit,
     clock,
     configuration,
+    inbound,
     journal,
     link,
     log,
@@ -86,13 +87,16 @@
         self._create_agreement()
         self._configuration = member.Configuration(0, b"{}")
         self.metrics = metrics.open_metrics()
+        self.inbound = inbound.new_inbound(
+            entry_settings.inbound, self.metrics, entry_settings.limits.max_body_bytes
+        )
         self.refusals = refusals.Refusals(entry_clock, self.journal, self.metrics)
         self._gate = http_server.Gate(self.refusals, lambda: self.limits.max_jobs)
         self._could_grant_permits = False
         self._tasks = set()
         self._listener = None
         self._http_server = None
-        self._metrics_runner = None
+        self._metrics_listener = None
         self.store = None
 
     @property
@@ -103,7 +107,7 @@
     @property
     def metrics_port(self):
         """Return the port of the metrics page, once started with an address for it."""
-        return self._metrics_runner.addresses[0][1]
+        return self._metrics_listener.port
 
     async def start(self):
         """Open the ports and start the background tasks."""
@@ -162,8 +166,8 @@
             agent.link.close()
         await self._listener.close()
         await self._http_server.close()
-        if self._metrics_runner is not None:
-            await self._metrics_runner.cleanup()
+        if self._metrics_listener is not None:
+            await self._metrics_listener.close()
         await self.store.close()
 
     async def submit(self, submission, job_ticket, wait_ms):
@@ -278,10 +282,7 @@
         )
 
     def _application(self):
-        app = web.Application(
-            client_max_size=self.limits.max_body_bytes,
-            middlewares=[self._gate.middleware()],
-        )
+        app = web.Application(middlewares=[self._gate.middleware()])
         callers.Callers(self).add_routes(app)
         operators.Operators(self).add_routes(app)
         app.router.add_get("/health", self._health)
@@ -292,15 +293,20 @@
         """Open the HTTP ports: of clients and operators, and of the metrics."""
         http = self.settings.http
         self._http_server = http_server.Server(
-            self._application(), lambda: self.limits.max_connections
+            self._application(),
+            lambda: self.limits.max_connections,
+            process_inbound=self.inbound,
         )
         await self._http_server.start(http.host, http.port)
         if self.settings.metrics is not None:
             page = metrics_page.application(self.metrics, self._measure)
-            self._metrics_runner = await metrics_page.serve(page, self.settings.metrics)
+            self._metrics_listener = await metrics_page.serve(
+                page, self.settings.metrics, self.inbound
+            )
 
     def _measure(self):
         """Update the gauges."""
+        self.inbound.measure()
         permit = self.freshness.permit(self.clock.now_ms())
         self.metrics.set(metrics.Gauge.PERMIT, int(permit.remaining_ms))
         self.metrics.set(metrics.Gauge.BACKLOG, self.archive.backlog)
--- a/packages/dispatch/src/jujubeglade/entry/http_server.py
+++ b/packages/dispatch/src/jujubeglade/entry/http_server.py
@@ -2,8 +2,9 @@
 
 | limit                                  | beyond it                               |
 |----------------------------------------|-----------------------------------------|
-| `max_connections` open connections     | 503, and the connection is closed       |
+| `max_connections` open connections     | an unfinished request gives way, or 503 |
 | 10 s for the head of the first request | the connection is closed                |
+| those of `jujubeglade.core.inbound`    | the connection is closed                |
 | `max_body_bytes` in a body             | 413                                     |
 | `max_jobs` requests in progress        | 429                                     |
 | 64 requests of operators in progress   | 429; a separate limit, so that requests |
@@ -13,13 +14,11 @@
 All refusals are JSON, including those of the HTTP library.
 """
 
-import asyncio
-import contextlib
 import json
 
 from aiohttp import web
 
-from jujubeglade.core import clock, log, problem
+from jujubeglade.core import inbound, log, problem
 from jujubeglade.entry import refusals
 
 _RETRY_AFTER_MS = 500
@@ -38,20 +37,14 @@
 class Server:
     """An application on one listening port."""
 
-    __slots__ = (
-        "_app",
-        "_first_request_timeout_ms",
-        "_max_connections",
-        "_runner",
-        "_server",
-        "_without_request",
-    )
+    __slots__ = ("_listener",)
 
     def __init__(
         self,
         app,
         max_connections,
         first_request_timeout_ms=_FIRST_REQUEST_TIMEOUT_MS,
+        process_inbound=None,
     ):
         """Create a server; `start` opens its port.
 
@@ -61,20 +54,20 @@
             integer that operators may change.
           first_request_timeout_ms: An integer, how long a connection may take until
             the head of its first request has arrived.
+          process_inbound: The Inbound of the process; None for one of its own.
         """
-        self._app = app
-        self._app.middlewares.insert(0, self._request_middleware())
-        self._max_connections = max_connections
-        self._first_request_timeout_ms = first_request_timeout_ms
-        # The connections on which no request has arrived yet.
-        self._without_request = set()
-        self._runner = None
-        self._server = None
+        options = inbound.ListenerOptions(
+            max_connections,
+            refusal=_overload_response(),
+            first_request_ms=first_request_timeout_ms,
+        )
+        process_inbound = process_inbound or inbound.default_inbound()
+        self._listener = process_inbound.new_listener("http", app, options)
 
     @property
     def port(self):
         """Return the port on which the server listens."""
-        return self._server.sockets[0].getsockname()[1]
+        return self._listener.port
 
     async def start(self, host, port):
         """Start listening.
@@ -83,10 +76,7 @@
           host: A string.
           port: An integer; 0 lets the system choose.
         """
-        self._runner = web.AppRunner(self._app, access_log=None)
-        await self._runner.setup()
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, host, port)
+        await self._listener.open(host, port)
 
     async def close(self):
         """Stop listening and close all connections.
@@ -94,76 +84,26 @@
         The requests of connections that were just accepted get a short time to be
         answered.
         """
-        loop = asyncio.get_running_loop()
-        for connection in self._stop_listening():
-            await loop.connect_accepted_socket(self._accept, connection)
-        await asyncio.sleep(clock.seconds(_CLOSE_DELAY_MS))
-        await self._runner.cleanup()
-
-    def _stop_listening(self):
-        """Close the listening sockets.
-
-        Returns:
-          A list of sockets: connections that clients had opened and that the event loop
-          had not accepted yet. The system would reset them.
-        """
-        listeners = [listening.dup() for listening in self._server.sockets]
-        # They go on listening until their last copy is closed.
-        self._server.close()
-        connections = []
-        for listener in listeners:
-            with listener, contextlib.suppress(BlockingIOError):
-                while True:
-                    connections.append(listener.accept()[0])
-        return connections
-
-    def _accept(self):
-        if len(self._runner.server.connections) >= self._max_connections():
-            return _RefusedConnection()
-        connection = self._runner.server()
-        self._without_request.add(connection)
-        delay = clock.seconds(self._first_request_timeout_ms)
-        asyncio.get_running_loop().call_later(delay, self._close_unused, connection)
-        return connection
-
-    def _request_middleware(self):
-        """Return the middleware that records which connections have made requests."""
-
-        @web.middleware
-        async def record_request(request, handler):
-            self._without_request.discard(request.protocol)
-            return await handler(request)
+        await self._listener.close(_CLOSE_DELAY_MS)
 
-        return record_request
 
-    def _close_unused(self, connection):
-        """Close a connection on which no request has arrived."""
-        if connection in self._without_request:
-            self._without_request.discard(connection)
-            if connection.transport is not None:
-                connection.transport.abort()
-
-
-class _RefusedConnection(asyncio.Protocol):
-    """Refuses a connection beyond the limit."""
-
-    def connection_made(self, transport):
-        refusal = problem.Problem(
-            kind=problem.Kind.OVERLOADED,
-            message="the entry has reached its limit of open connections",
-            remedy="try again later, or ask another entry",
-            retry_after_ms=_RETRY_AFTER_MS,
-        )
-        body = json.dumps(refusals.render((refusal,))).encode()
-        head = (
-            "HTTP/1.1 503 Service Unavailable\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "Retry-After: 1\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        transport.write(head.encode() + body)
-        transport.close()
+def _overload_response():
+    """Render the response to a connection beyond the limit, as bytes."""
+    refusal = problem.Problem(
+        kind=problem.Kind.OVERLOADED,
+        message="the entry has reached its limit of open connections",
+        remedy="try again later, or ask another entry",
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+    body = json.dumps(refusals.render((refusal,))).encode()
+    head = (
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Retry-After: 1\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
 
 
 class Gate:
--- a/packages/dispatch/src/jujubeglade/entry/operators.py
+++ b/packages/dispatch/src/jujubeglade/entry/operators.py
@@ -47,7 +47,9 @@
         operator = self._tokens.name_of(request)
         if operator is None:
             return self._refusals.unauthorized()
-        fields = await callers.read_json(request)
+        fields = await callers.read_json(
+            request, self._entry.settings.limits.max_body_bytes
+        )
         if not _is_command(fields):
             remedy = 'give "id" of up to 100 letters and digits, and "text"'
             bad_body = refusals.bad_request("body", remedy)
