Drop the unfinished requests that hold most, beyond a bound of the process

Seen: 1,000 clients with a body of legal size less its last byte, whole, in pieces of 4 KiB or in chunks of 64 KiB, take 484, 377 and 510 MB of an entry that has 160; 500 bodies behind a request in progress take 296 MB.

Cause: each body was bounded, their sum was not.

Change: the bytes received of all requests that are not whole are counted for the whole process.

Why it works: all that is received is counted before it is parsed, and a request leaves the count only when it is whole, closed or answered.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -17,6 +17,25 @@
       | 64    | silent, chunked         |
       | 320   | silent, chunked, stalled |
 
+  Scenario: For memory the request gives way that has held most for longest
+    Given unfinished requests at 10000 ms
+      | name     | missing | since_ms | held   |
+      | ordinary | 1.0     | 9990     | 300    |
+      | old      | 0.5     | 1000     | 50000  |
+      | large    | 0.1     | 1000     | 260000 |
+      | new      | 0.5     | 9000     | 200000 |
+    When their bound is 480000 bytes
+    Then large give way
+    When their bound is 200000 bytes
+    Then large, old, new give way
+
+  Scenario: Nothing gives way for memory below the bound
+    Given unfinished requests at 10000 ms
+      | name | missing | since_ms | held  |
+      | old  | 0.5     | 1000     | 50000 |
+    When their bound is 60000 bytes
+    Then none give way
+
   Scenario Outline: The bounds follow from what the machine has
     When the bounds are computed for <memory> MB and <descriptors> descriptors
     Then there are <connections> connections and <unfinished> MB of unfinished requests
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -39,6 +39,12 @@
     context.chosen = eviction.for_connections(context.requests, context.now_ms, bound)
 
 
+@when("their bound is {bound:d} bytes")
+def step_memory(context, bound):
+    held = sum(request.held_bytes for request in context.requests)
+    context.chosen = eviction.for_memory(context.requests, context.now_ms, held, bound)
+
+
 @then("{names} give way")
 def step_give_way(context, names):
     chosen = ", ".join(request.name for request in context.chosen) or "none"
--- a/packages/core/src/jujubeglade/core/inbound.py
+++ b/packages/core/src/jujubeglade/core/inbound.py
@@ -140,6 +140,8 @@
           nbytes: An integer.
         """
         self._held_bytes += nbytes
+        if self._held_bytes > self.bounds.unfinished_bytes:
+            self._drop_input()
 
     def release(self, nbytes):
         """Count bytes that are no longer held.
@@ -187,6 +189,14 @@
         """
         self.closures.note(connection.listener.name, cause)
 
+    def _drop_input(self):
+        unfinished = [item for item in self._connections if item.is_unfinished]
+        chosen = eviction.for_memory(
+            unfinished, self.now_ms(), self._held_bytes, self.bounds.unfinished_bytes
+        )
+        for connection in chosen:
+            self._close(connection, "memory")
+
     def _close(self, connection, cause):
         self.note_closed(connection, cause)
         connection.abort()
