End heads that are too long, also empty lines before a request

Seen: 500 heads without end take 177 MB of an entry, 500 of lines of 8 KB take 997 MB, and 1,700 request lines without end 226 MB; empty lines before a request are read for ever.

Cause: the HTTP library bounds a line (8 KB) and the number of lines (128), so a head may have a megabyte; empty lines before a request count for neither.

The end of the head is looked for in what is read, before the library has it.

--- a/packages/core/src/jujubeglade/core/_inbound_connection.py
+++ b/packages/core/src/jujubeglade/core/_inbound_connection.py
@@ -7,6 +7,12 @@
 import asyncio
 import enum
 
+_HEAD_END = b"\r\n\r\n"
+_LINE_END_BYTES = b"\r\n"
+_HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 #: The missing share of a body of unknown length.
 _UNKNOWN_SHARE = 0.5
 
@@ -45,12 +51,15 @@
     __slots__ = (
         "_blocked_since_ms",
         "_body_bytes",
+        "_head_bytes",
         "_input",
         "_is_aborted",
+        "_is_blank",
         "_is_first",
         "_length",
         "_owner",
         "_pauses",
+        "_tail",
         "_transport",
         "_began_ms",
         "held_bytes",
@@ -83,6 +92,7 @@
         self.held_bytes = 0
         self._body_bytes = 0
         self._length = None
+        self._start_head()
 
     @property
     def is_open(self):
@@ -182,6 +192,11 @@
             return
         if self.phase is Phase.BODY:
             self._body_bytes += len(data)
+        elif self.phase is Phase.HEAD and not self._scan_head(data):
+            self._owner.note_closed(self, "head")
+            self._transport.write(_HEAD_TOO_LARGE)
+            self._transport.close()
+            return
         self.protocol.data_received(data)
 
     def on_request(self, content, length):
@@ -254,6 +269,7 @@
         self.phase = Phase.IDLE
         self._length = None
         self._body_bytes = 0
+        self._start_head()
         if self._input:
             # A pipelined request.
             self.phase = Phase.HEAD
@@ -262,6 +278,32 @@
             self.process()
         self.resume_reading(PauseReason.SERVING)
 
+    def _start_head(self):
+        self._head_bytes = 0
+        self._is_blank = True
+        # The last bytes of the head so far, which may be a part of its end.
+        self._tail = b""
+
+    def _scan_head(self, data):
+        """Look for the end of the head.
+
+        Returns:
+          A boolean, false if the head is too long.
+        """
+        self._head_bytes += len(data)
+        if self._is_blank:
+            # The HTTP library skips empty lines before a request.
+            data = data.lstrip(_LINE_END_BYTES)
+            self._is_blank = not data
+        window = self._tail + data
+        end = window.find(_HEAD_END)
+        after = len(window) - end - len(_HEAD_END) if end >= 0 else 0
+        if end >= 0:
+            self.phase = Phase.BODY
+            self._body_bytes = after
+        self._tail = window[1 - len(_HEAD_END) :]
+        return self._head_bytes - after <= self._owner.bounds.head_bytes
+
 
 class _LibraryTransport:
     """The transport as the HTTP library has it.
