Share the time of the event loop between large requests and everything else

Seen: beside 600 bodies in chunks of one byte an entry served 0 of 10 ordinary requests, and took 442 MB of 160.

Cause: parsing such a body costs over a microsecond for each byte, some 0.3 s a body, and the event loop parsed everything that it had read before it did anything else.

Change: a turn of the event loop spends 10 ms on input. What was read beyond that waits with its connection unread; the first 8 KiB of requests go before the rest of large ones (`_inbound_pacing`).

Why it works: an ordinary request is short, so it waits for at most the other short ones of its turn, whatever the large ones cost.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -36,6 +36,20 @@
     When their bound is 60000 bytes
     Then none give way
 
+  Scenario: Input that takes long to parse waits, and short requests go first
+    Given a pacer whose turns are 10 ms
+    When in one turn input of these connections arrives
+      | name    | large | ms |
+      | bulk-1  | yes   | 8  |
+      | bulk-2  | yes   | 8  |
+      | bulk-3  | yes   | 8  |
+      | short-1 | no    | 1  |
+      | short-2 | no    | 1  |
+    Then the turns parse
+      | turn | names                    |
+      | 1    | bulk-1 bulk-2            |
+      | 2    | short-1 short-2 bulk-3   |
+
   Scenario Outline: The bounds follow from what the machine has
     When the bounds are computed for <memory> MB and <descriptors> descriptors
     Then there are <connections> connections and <unfinished> MB of unfinished requests
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -1,5 +1,6 @@
 """Steps for the bounds on what clients hold, without a network."""
 
+import collections
 import dataclasses
 
 import logbook
@@ -8,6 +9,7 @@
 from jujubeglade.core import _inbound_bounds as bounds
 from jujubeglade.core import _inbound_closures as closures
 from jujubeglade.core import _inbound_eviction as eviction
+from jujubeglade.core import _inbound_pacing as pacing
 from jujubeglade.core import clock, log, metrics, settings
 
 _MIB = 1024 * 1024
@@ -51,6 +53,85 @@
     assert chosen == names, chosen
 
 
+class FakeLoop:
+    """An event loop whose time passes only while input is parsed."""
+
+    def __init__(self):
+        """Start at 0."""
+        self.now_s = 0.0
+        self.scheduled = collections.deque()
+
+    def time(self):
+        """Return the time."""
+        return self.now_s
+
+    def call_soon(self, callback):
+        """Call a function in the next turn."""
+        self.scheduled.append(callback)
+
+
+class FakeConnection:
+    """A connection whose input takes a known time to parse."""
+
+    def __init__(self, loop, name, cost_s, parsed, *, is_large):
+        """Create a connection that appends its name to `parsed`."""
+        self._loop = loop
+        self._name = name
+        self._cost_s = cost_s
+        self._parsed = parsed
+        self.is_large = is_large
+        self.is_paused = False
+
+    def pause(self):
+        """Read no more."""
+        self.is_paused = True
+
+    def resume(self):
+        """Parse, and read again."""
+        assert self.is_paused
+        self.process()
+        self.is_paused = False
+
+    def process(self):
+        """Parse the input."""
+        self._loop.now_s += self._cost_s
+        self._parsed.append(self._name)
+
+
+@given("a pacer whose turns are 10 ms")
+def step_pacer(context):
+    context.loop = FakeLoop()
+    context.pacer = pacing.ReadPacer(context.loop)
+
+
+@when("in one turn input of these connections arrives")
+def step_arrives(context):
+    parsed = []
+    connections = [
+        FakeConnection(
+            context.loop,
+            row["name"],
+            int(row["ms"]) / 1000,
+            parsed,
+            is_large=row["large"] == "yes",
+        )
+        for row in context.table
+    ]
+    for connection in connections:
+        context.pacer.offer(connection)
+    context.turns = [tuple(parsed)]
+    while context.loop.scheduled:
+        parsed.clear()
+        context.loop.scheduled.popleft()()
+        context.turns.append(tuple(parsed))
+
+
+@then("the turns parse")
+def step_turns(context):
+    expected = [tuple(row["names"].split()) for row in context.table]
+    assert context.turns == expected, context.turns
+
+
 @when("the bounds are computed for {memory:d} MB and {descriptors:d} descriptors")
 def step_bounds(context, memory, descriptors):
     mapping = settings.Inbound(memory_mb=memory, max_descriptors=descriptors)
--- a/packages/core/src/jujubeglade/core/_inbound_connection.py
+++ b/packages/core/src/jujubeglade/core/_inbound_connection.py
@@ -1,7 +1,7 @@
 """One connection of a client, and how far its current request is from being whole.
 
-It stands between the transport and the HTTP library: it reads a little at a time, and
-knows what has been received of a request.
+It stands between the transport and the HTTP library: it reads a little at a time, lets
+`ReadPacer` decide when that is parsed, and knows what has been received of a request.
 """
 
 import asyncio
@@ -15,6 +15,8 @@
 )
 #: The missing share of a body of unknown length.
 _UNKNOWN_SHARE = 0.5
+#: The shortest input of a large request: more than one read of a usual one.
+_LARGE_BYTES = 8 * 1024
 
 
 class Phase(enum.Enum):
@@ -41,6 +43,8 @@
     NONE = 0
     #: The HTTP library has enough.
     LIBRARY = enum.auto()
+    #: What was read waits for its turn.
+    TURN = enum.auto()
     #: What was read belongs to the request after the one that is served.
     SERVING = enum.auto()
 
@@ -110,6 +114,11 @@
             is_blocked and self.phase is not Phase.SERVING
         )
 
+    @property
+    def is_large(self):
+        """Return whether much of the current request was received already."""
+        return self.held_bytes > _LARGE_BYTES
+
     @property
     def since_ms(self):
         """Return when the current request began, by the monotonic clock."""
@@ -182,7 +191,16 @@
             self.phase = Phase.HEAD
         self._hold(nbytes)
         if self.is_open:
-            self.process()
+            self._owner.pacer.offer(self)
+
+    def pause(self):
+        """Read no more until `resume`; see `ReadPacer`."""
+        self.pause_reading(PauseReason.TURN)
+
+    def resume(self):
+        """Process what was read, and read again; see `ReadPacer`."""
+        self.process()
+        self.resume_reading(PauseReason.TURN)
 
     def process(self):
         """Parse what was read."""
@@ -275,7 +293,7 @@
             self.phase = Phase.HEAD
             self._began_ms = self._owner.now_ms()
             self._hold(len(self._input))
-            self.process()
+            self._owner.pacer.offer(self)
         self.resume_reading(PauseReason.SERVING)
 
     def _start_head(self):
--- a/packages/core/src/jujubeglade/core/inbound.py
+++ b/packages/core/src/jujubeglade/core/inbound.py
@@ -17,6 +17,7 @@
 from jujubeglade.core import _inbound_closures as closures_
 from jujubeglade.core import _inbound_eviction as eviction
 from jujubeglade.core import _inbound_http as http
+from jujubeglade.core import _inbound_pacing as pacing
 from jujubeglade.core import clock, metrics, settings
 
 HttpListener = http.HttpListener
@@ -61,6 +62,7 @@
         "_connections",
         "_held_bytes",
         "_metrics",
+        "_pacer",
         "_sweep",
         "bounds",
         "buffer",
@@ -87,8 +89,14 @@
         self._connections = set()
         self._held_bytes = 0
         self._accepted_bytes = 0
+        self._pacer = None
         self._sweep = None
 
+    @property
+    def pacer(self):
+        """Return the ReadPacer of the event loop."""
+        return self._pacer
+
     def now_ms(self):
         """Read the monotonic clock."""
         return self._clock.now_ms()
@@ -121,6 +129,7 @@
         self._connections.add(connection)
         if self._sweep is None:
             loop = asyncio.get_running_loop()
+            self._pacer = pacing.ReadPacer(loop)
             self._sweep_later(loop)
 
     def remove(self, connection):
