--- a/packages/core/src/jujubeglade/core/_inbound_http.py
+++ b/packages/core/src/jujubeglade/core/_inbound_http.py
@@ -89,6 +89,8 @@
         self._runner = web.AppRunner(
             self._app,
             access_log=None,
+            # A small compressed body may decompress to any size.
+            auto_decompress=False,
             lingering_time=_LINGER_S,
             logger=_library_logger(self),
             **self._server_options,
