Refuse jobs whose tasks don't fit in the memory of the entry

Seen: 200 clients, each with a complete job of 10,000 steps in 30 KB, took 1.5 GB; no ordinary request was served.

Cause: a decoded job takes about 750 bytes for each task, which no bound knew.

Change: an entry counts a kilobyte for each task of the jobs that it hasn't answered. A job that would exceed `max_accepted_bytes` is refused with 503 and when to come back, and never runs. A job in progress that is sent again isn't refused.

--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -124,6 +124,14 @@
         """Return the number of jobs that have not been answered."""
         return len(self._jobs)
 
+    def owns(self, job_id):
+        """Return whether a job is in progress.
+
+        Args:
+          job_id: A string.
+        """
+        return job_id in self._jobs
+
     def count_unstarted(self, route):
         """Count the jobs of a route of which no task can have started.
 
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -31,6 +31,8 @@
 #: entry.
 _SUSPENDED_MS = contract.SILENCE_TIMEOUT_MS
 _RETRY_AFTER_MS = 1000.0
+#: The memory that an open job takes for each of its tasks.
+_TASK_BYTES = 1024
 
 _log = log.get(__name__)
 
@@ -114,7 +116,40 @@
         """
         if self._refuses_all:
             return Outcome(State.REFUSED, "shutting down", _RETRY_AFTER_MS)
-        return await self._dispatcher.submit(submission, route)
+        job_id = submission.job_id
+        count = sum(step.count for step in submission.steps)
+        if not self.has_room_for(job_id, count):
+            return self.refuse_for_room(job_id)
+        nbytes = 0 if self._dispatcher.owns(job_id) else count * _TASK_BYTES
+        self._inbound.accept(nbytes)
+        try:
+            return await self._dispatcher.submit(submission, route)
+        finally:
+            self._inbound.accept(-nbytes)
+
+    def has_room_for(self, job_id, count):
+        """Return whether the memory of this entry allows a job.
+
+        Args:
+          job_id: A string; a job that is in progress needs no more memory.
+          count: An integer, the number of its tasks.
+        """
+        nbytes = count * _TASK_BYTES
+        return self._dispatcher.owns(job_id) or self._inbound.has_room(nbytes)
+
+    def refuse_for_room(self, job_id):
+        """Refuse a job for which this entry has no memory.
+
+        Args:
+          job_id: A string.
+
+        Returns:
+          An Outcome.
+        """
+        reason = "too many tasks in progress"
+        _log.info("request refused", job=job_id, reason=reason)
+        self._metrics.count(metrics.Counter.REFUSED, "overloaded")
+        return Outcome(State.REFUSED, reason, _RETRY_AFTER_MS)
 
     def cancel(self, job_id):
         """Stop a job; see `Dispatcher.cancel`."""
