Refuse ticket jobs whose bodies don't fit in the memory of the entry

Seen: 200 clients with a body of 4 MiB less a byte took 1,061 MB of an entry with tickets; complete ones were decoded and kept side by side, up to `max_jobs` of them.

Cause: `max_jobs` counts requests, not what they hold.

Change: `max_accepted_bytes` holds for these too: twice the body, 64 MiB by default with bodies of 4 MiB. Beyond it a submission gets 429 `overloaded`, not run. The body isn't kept beside the decoded job.

Agents still take jobs from entries up to `max_jobs`: open.

--- a/packages/dispatch/src/jujubeglade/entry/callers.py
+++ b/packages/dispatch/src/jujubeglade/entry/callers.py
@@ -7,12 +7,15 @@
 import result
 from aiohttp import web
 
-from jujubeglade.core import clock, http_body, job, metrics, ticket
+from jujubeglade.core import clock, http_body, job, metrics, problem, ticket
 from jujubeglade.entry import intake, refusals, tokens
 
 _STATUS_RUNNING = 202
 _MAX_WAIT_DIGITS = 9
 _BODY_TIMEOUT_MS = 10_000
+#: The decoded job and its encoded tasks, beside each other.
+_DECODED_FACTOR = 2
+_RETRY_AFTER_MS = 500
 
 
 class Callers:
@@ -65,8 +68,20 @@
         if tenant is None:
             return self._refusals.unauthorized()
         max_bytes = self._entry.settings.limits.max_body_bytes
-        fields = await read_json(request, max_bytes)
-        parsed = intake.parse_submission(fields, tenant, self._entry.limits)
+        body = await read_body(request, max_bytes)
+        nbytes = len(body) * _DECODED_FACTOR
+        if not self._entry.inbound.has_room(nbytes):
+            return self._refusals.refuse(_no_memory_problem(), by=tenant)
+        self._entry.inbound.accept(nbytes)
+        try:
+            parsed = intake.parse_submission(_decode(body), tenant, self._entry.limits)
+            # Not kept beside the decoded job.
+            del body
+            return await self._submit(parsed, tenant, start_ms)
+        finally:
+            self._entry.inbound.accept(-nbytes)
+
+    async def _submit(self, parsed, tenant, start_ms):
         if parsed.is_err():
             return self._refusals.refuse(*parsed.err_value, by=tenant)
         submission, wait_ms = parsed.ok_value
@@ -168,17 +183,34 @@
       HTTPRequestTimeout: The body did not arrive in time.
       HTTPRequestEntityTooLarge: The body is longer.
     """
+    return _decode(await read_body(request, max_bytes))
+
+
+async def read_body(request, max_bytes):
+    """Read the body of a request; see `read_json`."""
     try:
         async with asyncio.timeout(clock.seconds(_BODY_TIMEOUT_MS)):
-            body = await http_body.read(request, max_bytes)
+            return await http_body.read(request, max_bytes)
     except TimeoutError:
         raise web.HTTPRequestTimeout from None
+
+
+def _decode(body):
     try:
         return json.loads(body, parse_constant=_refuse_constant)
     except (ValueError, RecursionError):
         return None
 
 
+def _no_memory_problem():
+    return problem.Problem(
+        kind=problem.Kind.OVERLOADED,
+        message="the requests in progress take all the memory that is for them",
+        remedy="try again later, or ask another entry",
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def _refuse_constant(name):
     """Refuse NaN and the infinities, which are not valid JSON."""
     raise ValueError(name)
