Bound the streams whose handshake isn't done

Seen: 1,700 silent connections to the stream port of an entry, or 4,200 to that of an agent, take all descriptors.

Cause: only links with a handshake were counted; each other connection stays for up to 2 s, and new ones come.

A process of this system needs milliseconds for its handshake. Streams are accepted by the same acceptor as HTTP, and count what they close.

--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -13,7 +13,8 @@
 import msgpack
 import result
 
-from jujubeglade.core import _handshake, clock, message, problem
+from jujubeglade.core import _handshake, clock, inbound, message, problem
+from jujubeglade.core import _inbound_acceptor as acceptor
 
 Identity = _handshake.Identity
 
@@ -265,47 +266,81 @@
 
 
 class Listener:
-    """Accepts links from other processes."""
+    """Accepts links from other processes.
 
-    __slots__ = ("_links", "_max_links", "_server")
+    A connection becomes a link when its handshake is done. Of those before it only the
+    newest are kept: a process of this system needs milliseconds for its handshake, so
+    connections that stay silent don't keep it out.
+    """
+
+    __slots__ = ("_acceptor", "_handshakes", "_inbound", "_links", "_max_links")
 
-    def __init__(self, max_links):
+    def __init__(self, max_links, process_inbound):
         """Make a listener that is not open yet; use `serve` instead.
 
         Args:
           max_links: An integer, the most links that may be open at a time.
+          process_inbound: The Inbound of the process.
         """
+        self._inbound = process_inbound
         self._links = set()
         self._max_links = max_links
-        self._server = None
+        self._acceptor = None
+        # The streams whose handshakes are not done, oldest first.
+        self._handshakes = {}
 
     @property
     def port(self):
         """Return the port that this listener is bound to."""
-        return self._server.sockets[0].getsockname()[1]
+        return self._acceptor.port
 
-    async def open(self, address, cluster_key, identity, handler):
+    def open(self, address, cluster_key, identity, handler):
         """Start to listen; see `serve` for the arguments."""
 
         async def accept(reader, writer):
             if len(self._links) >= self._max_links:
+                self._note_closed("links")
                 writer.close()
                 return
-            link = await _accept(reader, writer, cluster_key, identity, handler)
+            link = await self._shake_hands(
+                writer, _accept(reader, writer, cluster_key, identity, handler)
+            )
             if link is not None:
                 await self._run(link, handler)
 
-        self._server = await asyncio.start_server(accept, *address)
+        def new_protocol():
+            return asyncio.StreamReaderProtocol(asyncio.StreamReader(), accept)
+
+        self._acceptor = acceptor.Acceptor(
+            new_protocol, lambda: self._note_closed("exhausted")
+        )
+        self._acceptor.open(*address)
 
     async def close(self):
         """Stop listening and close the accepted links."""
-        self._server.close()
+        self._acceptor.close()
         for link in list(self._links):
             link.close()
         # The tasks that read the links end in the next turns of the event loop.
         while self._links:
             await asyncio.sleep(0)
 
+    async def _shake_hands(self, writer, handshake):
+        """Return the link of a new connection, or None."""
+        if len(self._handshakes) >= self._inbound.bounds.internal_connections:
+            oldest = next(iter(self._handshakes))
+            del self._handshakes[oldest]
+            oldest.transport.abort()
+            self._note_closed("handshakes")
+        self._handshakes[writer] = None
+        try:
+            return await handshake
+        finally:
+            self._handshakes.pop(writer, None)
+
+    def _note_closed(self, cause):
+        self._inbound.closures.note("stream", cause)
+
     async def _run(self, link, handler):
         self._links.add(link)
         try:
@@ -315,7 +350,9 @@
             self._links.discard(link)
 
 
-async def serve(address, cluster_key, identity, handler, max_links):
+async def serve(  # noqa: PLR0913
+    address, cluster_key, identity, handler, max_links, process_inbound=None
+):
     """Accept links from other processes.
 
     Args:
@@ -325,12 +362,13 @@
       handler: The handler of the links' messages; its `on_link(link)` is
         called when a link is open.
       max_links: An integer, the most links that may be open at a time.
+      process_inbound: The Inbound of the process; None for one of its own.
 
     Returns:
       A Listener.
     """
-    listener = Listener(max_links)
-    await listener.open(address, cluster_key, identity, handler)
+    listener = Listener(max_links, process_inbound or inbound.default_inbound())
+    listener.open(address, cluster_key, identity, handler)
     return listener
 
 
--- a/packages/dispatch/src/jujubeglade/agent/agent.py
+++ b/packages/dispatch/src/jujubeglade/agent/agent.py
@@ -132,6 +132,7 @@
             self.identity,
             self,
             self.settings.limits.max_connections,
+            self._inbound,
         )
         self._stream_port = self._server.port
         options = inbound.ListenerOptions(is_internal=True)
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -192,6 +192,7 @@
             self._identity,
             self,
             _MAX_LINKS,
+            self._inbound,
         )
         await self._request_servers.open()
         self._keep(self._registration.run)
--- a/packages/dispatch/src/jujubeglade/entry/entry.py
+++ b/packages/dispatch/src/jujubeglade/entry/entry.py
@@ -130,6 +130,7 @@
             self.identity,
             self,
             self.settings.limits.max_connections,
+            self.inbound,
         )
         await self._open_http()
         components = (
