Add up the needs of unreported attempts as they come and go

Seen: a job of 10,000 steps stands the event loop of an entry still; the entry takes that for a suspension and answers "entry was suspended" to all its clients.

Cause (a part of it): each message of an agent about its room added up the needs of all attempts that it didn't include yet, so n attempts cost n squared additions.

Change: the sum is kept, and the attempts are a queue in the order of their numbers.

The job of 10,000 steps is still answered 504: agents compare each attempt with all others (`runner._lease_limit_ms`).

--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -4,6 +4,7 @@
 view of its room is the agent's last report less what the entry has sent since.
 """
 
+import collections
 import math
 
 from jujubeglade.direct import contract, health, job, peer_views
@@ -37,6 +38,7 @@
         "_seen_ms",
         "_unreported_needs",
         "_unreported_suspect",
+        "_unreported_total",
         "_withheld_cpu",
         "announced_need_ms",
         "health",
@@ -76,9 +78,10 @@
         # before it.
         self._seen_ms = 0.0
         self._echo_ms = 0.0
-        # The needs of attempts that the agent's Room does not include yet, by the
-        # number of their Begin.
-        self._unreported_needs = {}
+        # The Begins that the agent's Room does not include yet: their numbers, in
+        # order, with the needs of each attempt; and all these needs together.
+        self._unreported_needs = collections.deque()
+        self._unreported_total = job.NOTHING
         # The number of the last Begin of a suspect; 0 once the Room includes it.
         self._unreported_suspect = 0
         # The free thousandths of a core that other entries are offered.
@@ -175,6 +178,7 @@
         self.views = peer_views.PeerViews()
         self._last_begin = 0
         self._unreported_needs.clear()
+        self._unreported_total = job.NOTHING
         self._unreported_suspect = 0
         self._room = _NO_ROOM
         self._free = job.NOTHING
@@ -196,16 +200,16 @@
         self._room = room
         self._withheld_cpu = room.withheld_cpu
         self.views.note(room.evacuations, room.members)
-        for number in [
-            begin for begin in self._unreported_needs if begin <= room.last_begin
-        ]:
-            del self._unreported_needs[number]
+        self._forget_reported(room.last_begin)
         if room.last_begin >= self._unreported_suspect:
             self._unreported_suspect = 0
-        free = room.free
-        for needs in self._unreported_needs.values():
-            free = free.minus(needs)
-        self._free = free
+        self._free = room.free.minus(self._unreported_total)
+
+    def _forget_reported(self, last_begin):
+        """Forget the needs of the Begins that a Room includes."""
+        while self._unreported_needs and self._unreported_needs[0][0] <= last_begin:
+            _, needs = self._unreported_needs.popleft()
+            self._unreported_total = self._unreported_total.minus(needs)
 
     def forfeit(self):
         """Use no more of the room that is free now, as others are offered it."""
@@ -232,7 +236,8 @@
         self._last_begin += 1
         if task.is_suspect:
             self._unreported_suspect = self._last_begin
-        self._unreported_needs[self._last_begin] = step.needs
+        self._unreported_needs.append((self._last_begin, step.needs))
+        self._unreported_total = self._unreported_total.plus(step.needs)
         self._free = self._free.minus(step.needs)
         self._link.send(
             contract.Begin(
