--- a/features/platform.feature
+++ b/features/platform.feature
@@ -44,6 +44,11 @@
       | {"bestEffort": true, "spec": "1000 50", "steps": [{"cpu": 1000}], "colour": 3} | colour        |
       | {"bestEffort": true, "spec": "1000 50", "steps": [{"cpu": 1000, "colour": [1]}]} | steps.colour  |
 
+  Scenario: A client timeout of any number of digits is taken
+    Given a platform site of 1 entries and 1 workers
+    When a client submits 1 tasks of 4 cores for 50 ms with a timeout of 400 digits
+    Then the client gets 200 completed
+
   Scenario Outline: An unreadable report has no effect
     Given a platform site of 1 entries and 1 workers
     When worker 0 reports with <change>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -57,6 +57,18 @@
     context.reply = context.runner.run(context.site.request(n, "POST", path, body))
 
 
+@when(
+    "a client submits {count:d} tasks of {cores:d} cores for {ms:d} ms with a timeout "
+    "of {digits:d} digits"
+)
+def step_submit_digits(context, count, cores, ms, digits):
+    path = f"{platform_site.PREFIX}{digits:016x}"
+    body = platform_site.job(count, cores, ms)
+    context.first_start = len(context.site.witness.log)
+    request = context.site.request(0, "POST", path, body, 10 ** (digits - 1))
+    context.reply = context.runner.run(request)
+
+
 @when("a client sends {method} {path} with {body}")
 def step_send(context, method, path, body):
     request = context.site.request(0, method, path, body.encode())
