Shorten the log line of a request with many unknown fields

Seen: a body of 262,144 bytes with 5,000 unknown fields writes all their names on one log line; 4,000 such lines may wait for the reader of the log.

Change: ten names of 60 characters, and their number.

Evidence: the new scenario of platform.feature fails without the change.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -49,6 +49,12 @@
     When a client submits 1 tasks of 4 cores for 50 ms with a timeout of 400 digits
     Then the client gets 200 completed
 
+  Scenario: A request with many unknown fields is logged on a short line
+    Given a platform site of 1 entries and 1 workers that logs
+    When a client sends a job with 5000 unknown fields
+    Then the client gets 200 completed
+    And no log line is longer than 2000 characters
+
   Scenario Outline: An unreadable report has no effect
     Given a platform site of 1 entries and 1 workers
     When worker 0 reports with <change>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -69,6 +69,15 @@
     context.reply = context.runner.run(request)
 
 
+@when("a client sends a job with {count:d} unknown fields")
+def step_unknown_fields(context, count):
+    unknown = {f"unknown-{number}": 0 for number in range(count)}
+    body = platform_site.job(1, 1, 30) | unknown
+    path = f"{platform_site.PREFIX}{count:016x}"
+    context.first_start = len(context.site.witness.log)
+    context.reply = context.runner.run(context.site.request(0, "POST", path, body))
+
+
 @when("a client sends {method} {path} with {body}")
 def step_send(context, method, path, body):
     request = context.site.request(0, method, path, body.encode())
@@ -428,6 +437,13 @@
     assert [(row["job"], row["names"]) for row in matching] == [(job_id, names)], rows
 
 
+@then("no log line is longer than {most:d} characters")
+def step_short_lines(context, most):
+    log.flush()
+    longest = max(map(len, context.stream.getvalue().splitlines()))
+    assert longest <= most, longest
+
+
 @then("nothing was started")
 def step_nothing(context):
     assert context.site.witness.starts == 0
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -31,6 +31,9 @@
 #: entry.
 _SUSPENDED_MS = contract.SILENCE_TIMEOUT_MS
 _RETRY_AFTER_MS = 1000.0
+#: What a log line shows of the names that a client chose.
+_MAX_NAMES = 10
+_MAX_NAME_CHARACTERS = 60
 #: The memory that an open job takes for each of its tasks.
 _TASK_BYTES = 1024
 
@@ -166,7 +169,8 @@
           job_id: A string.
           names: A tuple of strings.
         """
-        _log.warning("fields ignored", job=job_id, names=",".join(names))
+        shown = ",".join(name[:_MAX_NAME_CHARACTERS] for name in names[:_MAX_NAMES])
+        _log.warning("fields ignored", job=job_id, count=len(names), names=shown)
 
     def note_refused(self, job_id, reason):
         """Log and count a request that was refused before it became a job.
