Let crowds of clients come to the soak of direct jobs

With `--crowds`, crowds of random kinds of `jujubeglade.fakes.crowd` come to random entries while processes are killed, stopped and paused and clients submit jobs.

--- a/features/steps/direct_soak_steps.py
+++ b/features/steps/direct_soak_steps.py
@@ -12,6 +12,11 @@
     context.report = asyncio.run(direct_soak.run(seconds, seed))
 
 
+@when("a soak of direct jobs of {seconds:d} s runs with seed {seed:d} beside crowds")
+def step_soak_crowds(context, seconds, seed):
+    context.report = asyncio.run(direct_soak.run(seconds, seed, crowds=True))
+
+
 @then("the soak of direct jobs has no findings")
 def step_no_findings(context):
     report = context.report
--- a/packages/bench/src/jujubeglade/bench/direct_soak.py
+++ b/packages/bench/src/jujubeglade/bench/direct_soak.py
@@ -11,6 +11,9 @@
 - No process ends by itself.
 - Every entry serves again once the faults have ended.
 
+With `--crowds` clients that don't finish their requests come to the entries meanwhile
+(`direct_crowds`), and no entry uses more memory than the smallest VM has.
+
 A finding names the folder with the processes' logs.
 """
 
@@ -22,7 +25,7 @@
 
 import typer
 
-from jujubeglade.bench import direct_faults
+from jujubeglade.bench import direct_crowds, direct_faults
 from jujubeglade.core import clock
 from jujubeglade.direct import job
 from jujubeglade.fakes import platform_site, process_site
@@ -54,6 +57,7 @@
       completed: An integer.
       starts: An integer, starts of tasks.
       faults: A tuple of strings, in the order in which they were injected.
+      crowds: A tuple of strings, in the order in which they came.
       findings: A tuple of strings; empty when no guarantee was violated.
       folder: A string, the folder of the logs.
     """
@@ -62,6 +66,7 @@
     completed: int
     starts: int
     faults: tuple
+    crowds: tuple
     findings: tuple
     folder: str
 
@@ -90,12 +95,13 @@
         return set(self.statuses) == {_REFUSED_STATUS}
 
 
-async def run(seconds, seed):
+async def run(seconds, seed, *, crowds=False):
     """Run a soak.
 
     Args:
       seconds: A number, how long faults are injected and jobs submitted.
       seed: An integer.
+      crowds: A boolean, whether clients that don't finish their requests come.
 
     Returns:
       A Report.
@@ -105,21 +111,29 @@
     findings = []
     clients = []
     injected = []
+    sent = []
     await site.open(_ENTRIES, _WORKERS)
     try:
         findings += await _wait_serving(site, "start")
         submitting = asyncio.create_task(
             _submit_jobs(site, random.Random(f"{seed} jobs"), seconds, clients)
         )
+        sending = asyncio.create_task(
+            direct_crowds.send(
+                site, random.Random(f"{seed} crowds"), seconds * crowds, sent
+            )
+        )
         rng = random.Random(f"{seed} faults")
         findings += await _inject(site, rng, seconds, injected)
         await submitting
+        await sending
         findings += await _wait_serving(site, "faults")
         findings += [
             f"{program.name} ended by itself"
             for program in site.programs
             if program.has_ended_unexpectedly
         ]
+        findings += direct_crowds.memory_findings(site) if crowds else []
         findings += site.witness.violations
         findings += _false_answers(site.witness, clients)
     finally:
@@ -127,7 +141,13 @@
     completed = sum(client.is_completed for client in clients)
     starts = len(site.witness.log)
     return Report(
-        len(clients), completed, starts, tuple(injected), tuple(findings), folder
+        len(clients),
+        completed,
+        starts,
+        tuple(injected),
+        tuple(sent),
+        tuple(findings),
+        folder,
     )
 
 
@@ -238,14 +258,15 @@
     return findings
 
 
-def main(seconds: float = 60, seed: int = 1, seeds: int = 1):
+def main(seconds: float = 60, seed: int = 1, seeds: int = 1, crowds: bool = False):
     """Run soaks with consecutive seeds; exit with 1 after any finding."""
     is_clean = True
     for number in range(seed, seed + seeds):
-        report = asyncio.run(run(seconds, number))
+        report = asyncio.run(run(seconds, number, crowds=crowds))
         print(
             f"seed {number}: {report.jobs} jobs, {report.completed} completed, "
             f"{report.starts} starts, {len(report.faults)} rounds of faults, "
+            f"{len(report.crowds)} crowds, "
             f"{len(report.findings)} findings",
             flush=True,
         )
