Keep as many streams without a handshake as agents may dial at once

The oldest would be closed and dialed again.

Change: `max_handshakes`, by default a quarter of the connections of clients: 234 on the smallest VM, 608 on one of 300 MB. A listener of links no longer accepts what waits when it closes, as before.

Evidence: 400 processes that dial at once beside 300 silent connections all get their links (inbound.feature); on loopback, where a handshake takes no time, they do so with 64 too.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -65,3 +65,7 @@
     Given the closures of a process
     When 500 connections are closed over 25 seconds
     Then 500 are counted and 3 lines are logged
+
+  Scenario: Processes that dial at once get their links beside silent connections
+    When 400 processes dial a listener at once, beside 300 silent connections
+    Then all of them have a link
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -1,5 +1,6 @@
 """Steps for the bounds on what clients hold, without a network."""
 
+import asyncio
 import collections
 import dataclasses
 
@@ -10,7 +11,7 @@
 from jujubeglade.core import _inbound_closures as closures
 from jujubeglade.core import _inbound_eviction as eviction
 from jujubeglade.core import _inbound_pacing as pacing
-from jujubeglade.core import clock, log, metrics, settings
+from jujubeglade.core import clock, link, log, metrics, settings
 
 _MIB = 1024 * 1024
 
@@ -170,3 +171,44 @@
     total = f'connections_closed_total{{cause="memory",listener="clients"}} {count}'
     assert total in body.decode(), body.decode()
     assert len(context.lines) == lines, context.lines
+
+
+class _Handler:
+    """The handler of links on which nothing is sent."""
+
+    def on_link(self, peer_link):
+        """Do nothing."""
+
+    def on_message(self, peer_link, body):
+        """Do nothing."""
+
+
+@when(
+    "{count:d} processes dial a listener at once, beside {silent:d} silent connections"
+)
+def step_dial(context, count, silent):
+    context.dialed = asyncio.run(_dial(count, silent))
+
+
+async def _dial(count, silent):
+    key, handler = b"cluster-key-of-a-test", _Handler()
+    identity = link.Identity("entry", "entry", "1", "zone")
+    server = await link.serve(("127.0.0.1", 0), key, identity, handler, count)
+    address = ("127.0.0.1", server.port)
+    streams = [await asyncio.open_connection(*address) for _ in range(silent)]
+    dialer = link.Identity("agent", "agent", "1", "zone")
+    dialed = await asyncio.gather(
+        *(link.dial(address, key, dialer, handler) for _ in range(count))
+    )
+    for result in dialed:
+        if result.is_ok():
+            result.ok_value.abort()
+    for _, writer in streams:
+        writer.transport.abort()
+    await server.close()
+    return [result.is_ok() for result in dialed]
+
+
+@then("all of them have a link")
+def step_all_linked(context):
+    assert all(context.dialed), context.dialed.count(False)
--- a/packages/core/src/jujubeglade/core/_inbound_acceptor.py
+++ b/packages/core/src/jujubeglade/core/_inbound_acceptor.py
@@ -76,15 +76,17 @@
         self._socket = listening
         self._loop.add_reader(listening, self._accept_some)
 
-    def close(self):
-        """Stop listening; connections that were not accepted yet are accepted first.
+    def close(self, *, accepts_rest):
+        """Stop listening; closing twice does nothing.
 
-        The system would reset them. Closing twice does nothing.
+        Args:
+          accepts_rest: A boolean, whether the connections that were not accepted yet
+            are accepted first. Otherwise the system resets them.
         """
         if self._socket is None:
             return
         self._loop.remove_reader(self._socket)
-        while self._accept_one():
+        while accepts_rest and self._accept_one():
             pass
         self._socket.close()
         self._socket = None
--- a/packages/core/src/jujubeglade/core/_inbound_bounds.py
+++ b/packages/core/src/jujubeglade/core/_inbound_bounds.py
@@ -28,8 +28,8 @@
 
     Attributes:
       connections: An integer, the most connections of clients.
-      internal_connections: An integer, the most of each listener for other processes,
-        and the most streams whose handshake is not done.
+      internal_connections: An integer, the most of each listener for other processes.
+      handshakes: An integer, the most streams whose handshake is not done.
       head_bytes: An integer, the longest head of a request.
       unfinished_bytes: An integer, for all requests that are not whole.
       accepted_bytes: An integer, for all accepted requests that are not answered.
@@ -38,6 +38,7 @@
 
     connections: int
     internal_connections: int
+    handshakes: int
     head_bytes: int
     unfinished_bytes: int
     accepted_bytes: int
@@ -67,6 +68,7 @@
     return Bounds(
         connections,
         settings.max_internal_connections,
+        settings.max_handshakes or connections // _SHARES,
         settings.max_head_bytes,
         settings.max_unfinished_bytes or max(share, _BODY_FACTOR * largest_body_bytes),
         settings.max_accepted_bytes
--- a/packages/core/src/jujubeglade/core/_inbound_http.py
+++ b/packages/core/src/jujubeglade/core/_inbound_http.py
@@ -108,7 +108,7 @@
           delay_ms: A number, how long requests of connections that were just accepted
             have to be answered.
         """
-        self._acceptor.close()
+        self._acceptor.close(accepts_rest=True)
         await asyncio.sleep(clock.seconds(delay_ms))
         await self._runner.cleanup()
 
--- a/packages/core/src/jujubeglade/core/_settings_inbound.py
+++ b/packages/core/src/jujubeglade/core/_settings_inbound.py
@@ -36,10 +36,16 @@
         8,
         65_535,
         "Most connections at a time of each listener that isn't for clients: "
-        "readiness, metrics, reports and announcements of workers; and of streams "
-        "whose handshake isn't done.",
+        "readiness, metrics, reports and announcements of workers.",
         64,
     )
+    max_handshakes: int = rules.integer(
+        0,
+        65_535,
+        "Most streams at a time whose handshake isn't done; 0 for a quarter of the "
+        "connections of clients. Beyond it the oldest of them is closed.",
+        0,
+    )
     max_head_bytes: int = rules.integer(
         _KIB,
         _MIB,
--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -318,7 +318,7 @@
 
     async def close(self):
         """Stop listening and close the accepted links."""
-        self._acceptor.close()
+        self._acceptor.close(accepts_rest=False)
         for link in list(self._links):
             link.close()
         # The tasks that read the links end in the next turns of the event loop.
@@ -327,7 +327,7 @@
 
     async def _shake_hands(self, writer, handshake):
         """Return the link of a new connection, or None."""
-        if len(self._handshakes) >= self._inbound.bounds.internal_connections:
+        if len(self._handshakes) >= self._inbound.bounds.handshakes:
             oldest = next(iter(self._handshakes))
             del self._handshakes[oldest]
             oldest.transport.abort()
