--- a/features/crowd_rig.py
+++ b/features/crowd_rig.py
@@ -19,6 +19,7 @@
 from jujubeglade.bench import cluster, ports
 from jujubeglade.fakes import platform_site, process_site
 
+_KIB = 1024
 _MIB = 1024 * 1024
 _SAMPLE_INTERVAL_S = 0.2
 #: A guard against a process that hangs: far above what an answer takes.
@@ -305,22 +306,16 @@
     async def _sample_forever(self):
         while self._process.returncode is None:
             try:
-                resident, descriptors = _peak_resident(self._pid), _open(self._pid)
+                resident_kib = cluster.peak_resident_kib(self._process)
+                descriptors = _open(self._pid)
             except OSError:
                 return
-            memory = resident + _unread(self._address)
+            memory = resident_kib * _KIB + _unread(self._address)
             self.peak_bytes = max(self.peak_bytes, memory)
             self.peak_descriptors = max(self.peak_descriptors, descriptors)
             await asyncio.sleep(_SAMPLE_INTERVAL_S)
 
 
-def _peak_resident(pid):
-    """Return the highest number of resident bytes of a process so far."""
-    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    line = next(row for row in status.splitlines() if row.startswith("VmHWM:"))
-    return int(line.split()[1]) * 1024
-
-
 def _open(pid):
     """Return the number of open descriptors of a process."""
     return len(os.listdir(f"/proc/{pid}/fd"))
--- a/packages/bench/src/jujubeglade/bench/cluster.py
+++ b/packages/bench/src/jujubeglade/bench/cluster.py
@@ -440,8 +440,17 @@
     Returns:
       An integer, the resident KiB.
     """
+    return _status_kib(process, "VmRSS")
+
+
+def peak_resident_kib(process):
+    """Read the most memory that a process has used so far; see `resident_kib`."""
+    return _status_kib(process, "VmHWM")
+
+
+def _status_kib(process, field):
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
-    line = next(row for row in status.splitlines() if row.startswith("VmRSS:"))
+    line = next(row for row in status.splitlines() if row.startswith(f"{field}:"))
     return int(line.split()[1])
 
 
--- a/packages/bench/src/jujubeglade/bench/direct_crowds.py
+++ b/packages/bench/src/jujubeglade/bench/direct_crowds.py
@@ -6,18 +6,17 @@
 
 import asyncio
 import contextlib
-import pathlib
 import sys
 
+from jujubeglade.bench import cluster
 from jujubeglade.fakes import crowd
 
-_MIB = 1024 * 1024
 _COUNTS = (50, 300)
 _STAY_S = (1.0, 4.0)
 #: Time for a crowd to start and to end.
 _EXTRA_S = 20.0
 #: The memory of the smallest VM of an entry, which the settings assume.
-_MEMORY_BYTES = 160 * _MIB
+_MEMORY_KIB = 160 * 1024
 
 
 async def send(site, rng, seconds, sent):
@@ -65,18 +64,12 @@
       A list of strings.
     """
     peaks = {
-        program.name: _peak_resident_bytes(program.process.pid)
+        program.name: cluster.peak_resident_kib(program.process)
         for program in site.entries
         if program.process.returncode is None
     }
     return [
-        f"{name} has used {peak // _MIB} MiB"
+        f"{name} has used {peak} KiB"
         for name, peak in peaks.items()
-        if peak > _MEMORY_BYTES
+        if peak > _MEMORY_KIB
     ]
-
-
-def _peak_resident_bytes(pid):
-    status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    line = next(row for row in status.splitlines() if row.startswith("VmHWM:"))
-    return int(line.split()[1]) * 1024
