Close a connection without a place unanswered, as its job isn't known

Found by asking whether each 503 is true: a direct entry answered a connection beyond its bound with 503 before it had read the request. 503 promises that the job never runs, and it may be a repeat of one that has run, or runs.

Change: such a connection is closed without an answer; the client sends its job again, to any entry. Listeners that aren't for direct jobs may still name a response: that of ticket jobs does, whose refusal speaks of the request and not of the job.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -69,3 +69,8 @@
   Scenario: Processes that dial at once get their links beside silent connections
     When 400 processes dial a listener at once, beside 300 silent connections
     Then all of them have a link
+
+  Scenario: A connection without a place is closed without an answer, as its job is not known
+    Given a listener with one place, on which a request is being served
+    When another client connects and sends a request
+    Then that client gets no answer, and the first one is answered
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -5,13 +5,14 @@
 import dataclasses
 
 import logbook
+from aiohttp import web
 from behave import given, then, when
 
 from jujubeglade.core import _inbound_bounds as bounds
 from jujubeglade.core import _inbound_closures as closures
 from jujubeglade.core import _inbound_eviction as eviction
 from jujubeglade.core import _inbound_pacing as pacing
-from jujubeglade.core import clock, link, log, metrics, settings
+from jujubeglade.core import clock, inbound, link, log, metrics, settings
 
 _MIB = 1024 * 1024
 
@@ -212,3 +213,58 @@
 @then("all of them have a link")
 def step_all_linked(context):
     assert all(context.dialed), context.dialed.count(False)
+
+
+@given("a listener with one place, on which a request is being served")
+def step_one_place(context):
+    context.request = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+
+
+@when("another client connects and sends a request")
+def step_another(context):
+    context.answers = asyncio.run(_fill_one_place(context.request))
+
+
+async def _fill_one_place(request):
+    """Return what the first and the second client get."""
+    served, may_answer = asyncio.Event(), asyncio.Event()
+
+    async def handle(_):
+        served.set()
+        await may_answer.wait()
+        return web.Response(text="done")
+
+    app = web.Application()
+    app.router.add_post("/x", handle)
+    options = inbound.ListenerOptions(lambda: 1)
+    listener = inbound.default_inbound().new_listener("clients", app, options)
+    await listener.open("127.0.0.1", 0)
+    first_reader, first_writer = await asyncio.open_connection(
+        "127.0.0.1", listener.port
+    )
+    first_writer.write(request)
+    await served.wait()
+    second_answer = await _exchange(listener.port, request)
+    may_answer.set()
+    first_answer = await first_reader.readline()
+    first_writer.close()
+    await listener.close()
+    return first_answer, second_answer
+
+
+async def _exchange(port, request):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(request)
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+@then("that client gets no answer, and the first one is answered")
+def step_no_answer(context):
+    first, second = context.answers
+    assert first.startswith(b"HTTP/1.1 200"), first
+    assert second == b"", second
--- a/packages/core/src/jujubeglade/core/inbound.py
+++ b/packages/core/src/jujubeglade/core/inbound.py
@@ -26,10 +26,6 @@
 _READ_BYTES = 8 * 1024
 _SWEEP_INTERVAL_MS = 1000
 _UNLIMITED = 1 << 30
-_REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
-    b"Retry-After: 1\r\nConnection: close\r\n\r\n"
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,7 +36,9 @@
       max_connections: A function without arguments that returns the most connections,
         beside the bound of the process.
       is_internal: A boolean, whether it serves other processes and not clients.
-      refusal: Bytes, the response to a connection beyond the bound.
+      refusal: Bytes, the response to a connection beyond the bound; empty to close it
+        without one. It was not read, so what its request asks for may have been done
+        for an earlier one.
       first_request_ms: An integer, how long a new connection may take until its first
         request is whole; None for as long as any request.
       server: A dict, further options of aiohttp's AppRunner.
@@ -48,7 +46,7 @@
 
     max_connections: object = lambda: _UNLIMITED
     is_internal: bool = False
-    refusal: bytes = _REFUSAL
+    refusal: bytes = b""
     first_request_ms: int | None = None
     server: dict = dataclasses.field(default_factory=dict)
 
