--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -51,8 +51,8 @@
         """Write one line."""
         at_ms = round(now_ms() - self._started_ms, 1)
         line = {"at_ms": at_ms, "what": what} | fields
-        self._file.write(json.dumps(line) + "\n")
-        self._file.flush()
+        if not self._file.closed:
+            self._file.write(json.dumps(line) + "\n")
 
     def close(self):
         """Close the file."""
@@ -210,13 +210,15 @@
 class Run:
     """One run of a task on a worker."""
 
-    def __init__(self, task, number, cpu, timer):
+    def __init__(self, task, number, cpu, run_ms):
         """Create a run that has just started."""
         self.task = task
         self.number = number
         self.cpu = cpu
-        self.timer = timer
-        self.is_stopping = False
+        #: When it ends, by itself or by a stop, and how.
+        self.end_ms = now_ms() + run_ms
+        self.how = "done"
+        self.timer = None
 
 
 class Worker:
@@ -317,6 +319,7 @@
                     return response
             if request.headers.get("X-Expected-Instance") != self.name:
                 return web.json_response({"clockMs": self.clock_ms}, status=421)
+            self.catch_up()
             token = fields.get("fencingToken", 0)
             if token < self.token:
                 return self._conflict("fence")
@@ -376,6 +379,14 @@
         left_s = max(0, until - self.clock_ms) / 1000
         self._lease_timer = loop.call_later(left_s, self._lapse)
 
+    def catch_up(self):
+        """End what should have ended by now, should this process be slow."""
+        for run in list(self.runs.values()):
+            if now_ms() >= run.end_ms:
+                self._end(run, run.how)
+        if self.clock_ms >= self._lease_until:
+            self._lapse()
+
     def _lapse(self):
         for run in list(self.runs.values()):
             self._end(run, "lapsed")
@@ -405,8 +416,8 @@
             return self._conflict("old")
         run_ms, cpu = (int(word) for word in fields["spec"].split()[:2])
         loop = asyncio.get_running_loop()
-        run = Run(task, number, cpu, None)
-        run.timer = loop.call_later(run_ms / 1000, lambda: self._end(run, "done"))
+        run = Run(task, number, cpu, run_ms)
+        run.timer = loop.call_later(run_ms / 1000, lambda: self._end(run, run.how))
         self.runs[task] = run
         self.starts += 1
         self._record.note(
@@ -428,11 +439,12 @@
         if run is None or run.number != number:
             ended = self._ended_runs.get(task, 0)
             self._ended_runs[task] = max(ended, number)
-        elif not run.is_stopping:
-            run.is_stopping = True
+        elif run.how == "done" and run.end_ms > now_ms() + STOP_MS:
+            run.how = "stopped"
+            run.end_ms = now_ms() + STOP_MS
             run.timer.cancel()
             loop = asyncio.get_running_loop()
-            run.timer = loop.call_later(STOP_MS / 1000, lambda: self._end(run, "stopped"))
+            run.timer = loop.call_later(STOP_MS / 1000, lambda: self._end(run, run.how))
         return web.json_response({"clockMs": self.clock_ms})
 
     async def _hold(self, fields):
@@ -701,6 +713,48 @@
         self.record.close()
 
 
+class Balancer:
+    """The platform's choice of entries: those that answer its readiness calls."""
+
+    def __init__(self, site):
+        """Create a balancer with all entries in rotation; `run` asks them."""
+        self._site = site
+        self._misses = [0] * len(site.entries)
+
+    def choose(self, home, tried=()):
+        """Return the index of the entry for a new channel of a client.
+
+        Args:
+          home: The entry that the client's hash selects.
+          tried: The entries that the client's job was sent to; retries reach others.
+        """
+        everyone = range(len(self._misses))
+        ready = [index for index in everyone if self._misses[index] < 2] or everyone
+        others = [index for index in ready if index not in tried] or list(ready)
+        return home if home in others else random.choice(others)
+
+    async def run(self):
+        """Ask each entry once a second until cancelled."""
+        await asyncio.gather(*(self._ask(index) for index in range(len(self._misses))))
+
+    async def _ask(self, index):
+        address = self._site.entries[index].settings["readiness"]
+        url = f"http://{address}/jujubeglade/readiness"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+            while True:
+                started = now_ms()
+                status = 0
+                try:
+                    async with session.get(url) as answer:
+                        status = answer.status
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    pass
+                self._misses[index] = 0 if status == 200 else self._misses[index] + 1
+                await asyncio.sleep(max(0, 1 - (now_ms() - started) / 1000))
+
+
 def free_ports(count):
     """Return ports that are free on all loopback addresses now."""
     sockets = [socket.socket() for _ in range(count)]
