--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -604,8 +604,8 @@
             "coordinate_from": 6,
         }
 
-    async def open(self):
-        """Start everything and wait until it serves."""
+    async def open(self, serving=True):
+        """Start everything and, if asked, wait until it serves."""
         await self.store.open(*self.store_address)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True)
@@ -615,7 +615,8 @@
             await worker.open()
         for program in (*self.entries, *self.agents):
             await program.start()
-        await self.wait_serving()
+        if serving:
+            await self.wait_serving()
 
     async def wait_serving(self, timeout_s=45):
         """Wait until every entry completes a job that needs all workers in turn."""
