--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -f target/review-3/built ] || exit 2
-PYTHONPATH=target/deps exec python3 "$here/case.py"
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps exec python3 "$here/case.py"
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -744,8 +744,13 @@
         """
         everyone = range(len(self._misses))
         ready = [index for index in everyone if self._misses[index] < 2] or everyone
-        others = [index for index in ready if index not in tried] or list(ready)
-        return home if home in others else random.choice(others)
+        if tried:
+            ready = [index for index in ready if index not in tried] or ready
+        else:
+            # A new channel goes to the client's zone while it has a node.
+            zones = [program.settings["zone"] for program in self._site.entries]
+            ready = [index for index in ready if zones[index] == zones[home]] or ready
+        return home if home in ready else random.choice(list(ready))
 
     async def run(self):
         """Ask each entry once a second until cancelled."""
@@ -789,12 +794,15 @@
     record = Record(pathlib.Path(folder) / "record.txt")
 
     async def run():
+        # A case that is told to end still ends the processes that it started.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record)
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     sys.exit(0 if held else 1)
