Start nothing for a client that has left, by what the system knows of it

Cause: the decision to start went by what the event loop had read. It reads the end of a connection turns after the request: parsing has 10 ms a turn, 16 connections are accepted a turn, and a connection with a second request behind the first isn't read at all while the first is served. Agents dial again within some 100 ms; the echo in a Begin proves that the entry is alive, not that its client waits. The specification `resubmission` assumed what the code didn't do: that no link comes up before the entry has looked at its clients.

Fix: the system knows of the end when it arrives, also behind unread input. `Departures` asks it for all connections in one call: when a job is submitted, before each round that sends attempts, and at each tick before the echoes move on. Jobs whose callers have all left are answered and stopped; a request whose client has left is refused before it is a job and displaces none. Nothing is received during a round, so each Begin proves that a client waited after the Room that it echoes. No timer takes part, so that a stop of any length, a slow machine and a queue found by a process that just started are one case.

Related paths, mended by the same: a waiting job that gets room in the turn in which its client's end arrives, later steps and repeated attempts, and clients with a pipelined request, whose end was not seen before the answer.

The stand-ins delivered the end of a connection in the turn of its request, which no socket does; now later. The model lets links come up at any time; without the look it breaks "no task runs twice at one time" in 13 steps.

--- a/features/direct_faults.feature
+++ b/features/direct_faults.feature
@@ -65,3 +65,15 @@
     Given a field of 2 entries and 2 workers of 16 cores
     When the fault "a start that was fenced off reaches the worker's next incarnation" occurs
     Then no worker recorded a violation
+
+  # Guards against: an entry that wakes starts jobs whose clients have left (TWICE).
+  Scenario: A frozen entry that wakes starts nothing for clients that have submitted again elsewhere
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a frozen entry wakes while a client's second submission runs elsewhere" occurs
+    Then no worker recorded a violation
+
+  # Guards against: a waiting job starts after its client has left (TWICE, work for nobody).
+  Scenario: A job whose client left while its entry stood still gets none of the room that was freed
+    Given a field of 2 entries and 2 workers of 16 cores
+    When the fault "a client leaves a waiting job while its entry stands still and room is freed" occurs
+    Then 4 tasks of the field were started
--- a/features/direct_faults.py
+++ b/features/direct_faults.py
@@ -281,3 +281,37 @@
     await asyncio.sleep(0.845)
     host.worker.crash(reports=False)
     await asyncio.sleep(3)
+
+
+@fault("a frozen entry wakes while a client's second submission runs elsewhere")
+async def wake_with_requests(site):
+    """Send a job to frozen entry 0 and, when its client has given up, to entry 1."""
+    site.entries[0].process.freeze()
+    submission = site.submission(_TASKS, _CORES, _RUN_MS, _CLIENT_TIMEOUT_MS)
+    request = direct_clients.Request(site.entries[0], submission)
+    await asyncio.sleep(1.5)
+    # Much else waits to be read, so that the links of the agents are up before.
+    request.reset(read_after_ms=200)
+    await _submit_again(site, submission)
+    await asyncio.sleep(0.5)
+    assert site.agents[0].worker.running + site.agents[1].worker.running == _TASKS
+    site.entries[0].process.resume()
+    await asyncio.sleep(3)
+
+
+@fault("a client leaves a waiting job while its entry stands still and room is freed")
+async def free_room_while_frozen(site):
+    """Freeze entry 0 for less than agents wait, until its one job could start."""
+    _drain(site.agents[1].worker, draining=True)
+    await asyncio.sleep(0.1)
+    blocking = site.submission(_TASKS, _CORES, 400, _CLIENT_TIMEOUT_MS)
+    direct_clients.Request(site.entries[1], blocking)
+    await asyncio.sleep(0.02)
+    waiting = site.submission(_TASKS, _CORES, 100, _CLIENT_TIMEOUT_MS)
+    request = direct_clients.Request(site.entries[0], waiting)
+    await asyncio.sleep(0.05)
+    site.entries[0].process.freeze()
+    request.reset()
+    await asyncio.sleep(0.45)
+    site.entries[0].process.resume()
+    await asyncio.sleep(1)
--- a/features/model.feature
+++ b/features/model.feature
@@ -124,6 +124,7 @@
       | resubmission | a Begin that is read late proves that its owner is alive | no task runs twice at one time | 10 |
       | resubmission | a halt moves the limit of the lease | no task runs twice at one time | 10 |
       | resubmission | an owner vouches for clients that it has not looked at | no task runs twice at one time | 12 |
+      | resubmission | an owner sends an attempt without a look at its client | no task runs twice at one time | 13 |
       | resubmission | a running owner overlooks that its client has left | no task runs twice at one time | 9 |
 
     Examples: Late calls
--- a/features/steps/direct_faults_steps.py
+++ b/features/steps/direct_faults_steps.py
@@ -71,6 +71,11 @@
     assert len(context.site.witness.done) == count, context.site.witness.done
 
 
+@then("{count:d} tasks of the field were started")
+def step_started(context, count):
+    assert context.site.witness.starts == count, context.site.witness.started
+
+
 @then("worker {index:d} got {least:d} to {most:d} stops")
 def step_stops(context, index, least, most):
     stops = context.site.agents[index].worker.stop_calls
--- a/packages/bench/src/jujubeglade/fakes/direct_clients.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_clients.py
@@ -3,19 +3,47 @@
 import asyncio
 
 from jujubeglade.core import clock
-from jujubeglade.direct import job
+from jujubeglade.direct import callers, job
 from jujubeglade.fakes import direct_site
 
 _DELAY_MS = 1.5
+#: An entry reads the end of a connection in a later turn than what came before it.
+_END_DELAY_MS = 1.0
 _MAX_TRIES = 4
 
 
-class Request:
+class Departures(callers.Departures):
+    """The clients of an entry that have left, as the system of its VM knows."""
+
+    __slots__ = ("_departed",)
+
+    def __init__(self):
+        """Start with none."""
+        self._departed = []
+
+    def note(self, request):
+        """Note that the end of a connection has arrived, also at a frozen entry.
+
+        Args:
+          request: A Request.
+        """
+        self._departed.append(request)
+
+    def collect(self):
+        """Tell the requests; see `callers.Departures`."""
+        departed, self._departed = self._departed, []
+        for request in departed:
+            request.on_departure()
+        return bool(departed)
+
+
+class Request(callers.Caller):
     """One request of a client to an entry."""
 
     __slots__ = (
         "_answer",
         "_entry",
+        "_has_departed",
         "_host",
         "_loop",
         "_process",
@@ -38,6 +66,7 @@
         # An Outcome; None when the connection broke.
         self._answer = self._loop.create_future()
         self._task = None
+        self._has_departed = False
         host.requests[self] = None
         self._deliver(self._begin)
         if self._process.is_killed:
@@ -48,6 +77,15 @@
         """Return whether it has an outcome."""
         return self._answer.done()
 
+    @property
+    def has_departed(self):
+        """Return whether the entry knows that the client has left."""
+        return self._has_departed
+
+    def on_departure(self):
+        """Note that the entry knows that the client has left."""
+        self._has_departed = True
+
     async def outcome(self):
         """Wait for the answer, until the client's timeout.
 
@@ -60,10 +98,15 @@
             self.reset()
         return self._answer.result()
 
-    def reset(self):
-        """Break the connection; the entry notices at once."""
+    def reset(self, read_after_ms=_END_DELAY_MS):
+        """Break the connection; the entry reads that after what came before.
+
+        Args:
+          read_after_ms: A number, how long the entry reads what came before.
+        """
         self.break_off()
-        self._deliver(self._cancel)
+        self._loop.call_later(clock.seconds(_DELAY_MS), self._arrive)
+        self._deliver(lambda: self._read_end(read_after_ms))
 
     def break_off(self):
         """Break the connection for the client only."""
@@ -78,12 +121,19 @@
         """Pass the request to the entry; runs in its process."""
         self._task = self._loop.create_task(self._run())
 
+    def _arrive(self):
+        """Let the system of the entry's VM know that the connection has ended."""
+        self._entry.departures.note(self)
+
+    def _read_end(self, delay_ms):
+        self._loop.call_later(clock.seconds(delay_ms), self._cancel)
+
     def _cancel(self):
         if self._task is not None:
             self._task.cancel()
 
     async def _run(self):
-        outcome = await self._entry.submit(self._submission, direct_site.ROUTE)
+        outcome = await self._entry.submit(self._submission, direct_site.ROUTE, self)
         self._host.requests.pop(self, None)
         self._settle(outcome)
 
--- a/packages/bench/src/jujubeglade/fakes/direct_processes.py
+++ b/packages/bench/src/jujubeglade/fakes/direct_processes.py
@@ -18,7 +18,7 @@
     platforms,
     worker,
 )
-from jujubeglade.fakes import direct_site, direct_worker
+from jujubeglade.fakes import direct_clients, direct_site, direct_worker
 
 _HOLD_MS = 1000
 #: The round trip of a stop that is refused again at the same moment. Without it, a
@@ -97,12 +97,18 @@
         self.process = process
         self._registration = _Registration()
         self._dispatcher._scheduler._grown_workers = _OrderedSet()
+        self._dispatcher._departures = direct_clients.Departures()
 
     @property
     def identity(self):
         """Return the Identity."""
         return self._identity
 
+    @property
+    def departures(self):
+        """Return the Departures of the clients."""
+        return self._dispatcher._departures
+
     def offer(self, view):
         """Take a view of the store.
 
--- a/packages/bench/src/jujubeglade/fakes/platform_site.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_site.py
@@ -90,6 +90,10 @@
         """Wait until the processes have exchanged their state."""
         await asyncio.sleep(0.6)
 
+    def client_address(self, index):
+        """Return the address of an entry for clients, as a pair of host and port."""
+        return f"{_ENTRY_HOST_PREFIX}{index + 1}", self._client_port
+
     async def close(self):
         """Stop everything."""
         await self._session.close()
@@ -196,7 +200,8 @@
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
-        url = f"http://{_ENTRY_HOST_PREFIX}{index + 1}:{self._client_port}{path}"
+        host, port = self.client_address(index)
+        url = f"http://{host}:{port}{path}"
         headers = {"Host": HOST, "X-Deadline-Ms": str(timeout_ms)}
         content = {"data": body} if isinstance(body, bytes) else {"json": body}
         try:
--- a/packages/bench/src/jujubeglade/model/_resubmission_owners.py
+++ b/packages/bench/src/jujubeglade/model/_resubmission_owners.py
@@ -13,9 +13,14 @@
 _HALT = records.Message(records.HALT)
 
 
+def _room_age(worker):
+    """Return the age of the newest message that the owner can have from an agent."""
+    return max(0, worker.frozen - 1)
+
+
 def _echo_age(setting, first, worker):
-    """Return the age of the agent's message that a message of the owner answers."""
-    age = max(0, worker.frozen - 1)
+    """Return the age of the agent's message that a heartbeat of the owner answers."""
+    age = _room_age(worker)
     if setting.rules.vouches_for_clients:
         age = max(age, first.unchecked)
     return age
@@ -29,10 +34,12 @@
         return
     if first.place != records.UNPLACED:
         return
+    if setting.rules.looks_before_sending and records.has_unseen_break(state):
+        return
     for number, worker in enumerate(state.workers):
         if worker.link != records.UP:
             continue
-        begin = records.Message(records.BEGIN, _echo_age(setting, first, worker))
+        begin = records.Message(records.BEGIN, _room_age(worker))
         sent = records.with_worker(state, number, mail=(*worker.mail, begin))
         yield f"A sends the task to {number}", records.with_first(sent, place=number)
 
@@ -96,7 +103,7 @@
 def relink(setting, state):
     """An agent dials the first owner again."""
     first = state.first
-    if not records.may_act(first) or first.unchecked or records.has_unseen_break(state):
+    if not records.may_act(first):
         return
     for number, worker in enumerate(state.workers):
         if worker.link != records.DOWN or worker.frozen:
--- a/packages/bench/src/jujubeglade/model/_resubmission_records.py
+++ b/packages/bench/src/jujubeglade/model/_resubmission_records.py
@@ -38,6 +38,8 @@
       halt_keeps_limit: A halt does not move this limit of its attempt.
       vouches_for_clients: A message proves that its owner was alive only at a time
         before which the owner has noticed all broken connections of its clients.
+      looks_before_sending: An owner sends an attempt only if its client is connected at
+        that moment, also when it has yet to read the end of the connection.
       refuses_old_begins: A Begin is refused if it may have been sent too long ago.
       holds_duplicates: An attempt of a task that still runs at its agent for another
         owner is held there until that has ended.
@@ -50,6 +52,7 @@
     begins_prove_age: bool = True
     halt_keeps_limit: bool = True
     vouches_for_clients: bool = True
+    looks_before_sending: bool = True
     refuses_old_begins: bool = True
     holds_duplicates: bool = True
 
--- a/packages/bench/src/jujubeglade/model/resubmission.py
+++ b/packages/bench/src/jujubeglade/model/resubmission.py
@@ -87,6 +87,9 @@
 _mutation("an owner vouches for clients that it has not looked at", _FULL)(
     _off("vouches_for_clients")
 )
+_mutation("an owner sends an attempt without a look at its client", _FULL)(
+    _off("looks_before_sending")
+)
 _mutation("a running owner overlooks that its client has left", _UNSEEN)(
     lambda rules: rules
 )
--- a/packages/core/src/jujubeglade/core/_inbound_connection.py
+++ b/packages/core/src/jujubeglade/core/_inbound_connection.py
@@ -55,6 +55,7 @@
     __slots__ = (
         "_blocked_since_ms",
         "_body_bytes",
+        "_descriptor",
         "_head_bytes",
         "_input",
         "_is_aborted",
@@ -66,6 +67,7 @@
         "_tail",
         "_transport",
         "_began_ms",
+        "has_departed",
         "held_bytes",
         "listener",
         "phase",
@@ -84,6 +86,8 @@
         self.listener = listener
         self.protocol = protocol
         self._transport = None
+        # Of the socket; None while its departure is not watched.
+        self._descriptor = None
         self._pauses = PauseReason.NONE
         # What was read and not parsed yet.
         self._input = b""
@@ -91,6 +95,8 @@
         self._began_ms = owner.now_ms()
         self._is_first = True
         self._is_aborted = False
+        #: Whether the client had closed the connection when departures were collected.
+        self.has_departed = False
         self.phase = Phase.NEW
         #: Bytes received of the current request.
         self.held_bytes = 0
@@ -151,10 +157,14 @@
         if self._is_aborted:
             transport.abort()
             return
+        self._descriptor = transport.get_extra_info("socket").fileno()
+        self._owner.departures.add(self._descriptor, self)
         self.protocol.connection_made(_LibraryTransport(self, transport))
 
     def connection_lost(self, exc):
         """End; see asyncio.BaseProtocol."""
+        if self._descriptor is not None:
+            self._owner.departures.remove(self._descriptor)
         self._transport = None
         self._input = b""
         self._owner.remove(self)
@@ -232,6 +242,16 @@
         self.phase = Phase.BODY
         content.on_eof(self._on_whole)
 
+    def on_departure(self):
+        """Note that the client has closed the connection; see `Departures`.
+
+        The end of a connection that isn't read at the moment is not noticed otherwise,
+        and its request would be served until it times out.
+        """
+        self.has_departed = True
+        if self.phase is Phase.SERVING:
+            self.abort()
+
     def on_answer(self):
         """Note that the handler of the current request has ended."""
         if self.phase is Phase.BODY:
--- a/packages/core/src/jujubeglade/core/_inbound_http.py
+++ b/packages/core/src/jujubeglade/core/_inbound_http.py
@@ -112,6 +112,18 @@
         await asyncio.sleep(clock.seconds(delay_ms))
         await self._runner.cleanup()
 
+    def caller_of(self, request):
+        """Return the client of a request.
+
+        Args:
+          request: An aiohttp.web.Request.
+
+        Returns:
+          An object with `has_departed`, whether the client had closed the connection
+          when departures were collected last.
+        """
+        return self._connections.get(request.protocol, _DROPPED)
+
     def remove(self, connection):
         """Forget a connection that has ended."""
         self._connections.pop(connection.protocol, None)
@@ -160,6 +172,17 @@
         return len(self._connections) > bound - bound // _SPARE_SHARE
 
 
+class _Dropped:
+    """The client of a connection that this process has closed."""
+
+    __slots__ = ()
+
+    has_departed = True
+
+
+_DROPPED = _Dropped()
+
+
 class _RefusedConnection(asyncio.Protocol):
     """Refuses a connection beyond the bound, without reading from it."""
 
--- a/packages/core/src/jujubeglade/core/inbound.py
+++ b/packages/core/src/jujubeglade/core/inbound.py
@@ -15,6 +15,7 @@
 
 from jujubeglade.core import _inbound_bounds as bounds_
 from jujubeglade.core import _inbound_closures as closures_
+from jujubeglade.core import _inbound_departures as departures_
 from jujubeglade.core import _inbound_eviction as eviction
 from jujubeglade.core import _inbound_http as http
 from jujubeglade.core import _inbound_pacing as pacing
@@ -65,6 +66,7 @@
         "bounds",
         "buffer",
         "closures",
+        "departures",
     )
 
     #: See `_inbound_eviction`.
@@ -80,6 +82,7 @@
         """
         self.bounds = bounds
         self.closures = closures_.Closures(process_metrics, process_clock)
+        self.departures = departures_.Departures()
         #: What is read is copied from here before the next read.
         self.buffer = memoryview(bytearray(_READ_BYTES))
         self._metrics = process_metrics
--- a/packages/dispatch/src/jujubeglade/direct/dispatcher.py
+++ b/packages/dispatch/src/jujubeglade/direct/dispatcher.py
@@ -11,6 +11,7 @@
 from jujubeglade.core import clock, log, metrics
 from jujubeglade.direct import (
     acceptance,
+    callers,
     contract,
     fleet,
     heartbeats,
@@ -32,6 +33,7 @@
 _RETRY_AFTER_MS = 500.0
 #: An attempt whose agent was lost within this time had just started.
 _JUST_STARTED_MS = 300
+_CALLER_LEFT = "client left"
 #: The job class that labels the latency metric.
 _CLASS = "direct"
 
@@ -45,6 +47,7 @@
         "_acceptance",
         "_cluster_state",
         "_clock",
+        "_departures",
         "_fleet",
         "_jobs",
         "_stopping_tasks",
@@ -55,7 +58,7 @@
         "_heartbeats",
     )
 
-    def __init__(
+    def __init__(  # noqa: PLR0913
         self,
         clock,
         zone,
@@ -64,6 +67,7 @@
         metrics,
         options=options_.NO_OPTIONS,
         name="",
+        departures=callers.NO_DEPARTURES,
     ):
         """Start with no job and no worker.
 
@@ -75,9 +79,11 @@
           metrics: A Metrics.
           options: An Options.
           name: A string, the name of the entry.
+          departures: A Departures, of the callers.
         """
         self._clock = clock
         self._cluster_state = cluster_state
+        self._departures = departures
         self._metrics = metrics
         self._fleet = fleet.new_fleet(lease_ms, clock.now_ms())
         self._rack_demand = rack_demand.RackDemand(
@@ -143,20 +149,24 @@
             for job in self._jobs.values()
         )
 
-    async def submit(self, submission, route):
+    async def submit(self, submission, route, caller=callers.STAYING):
         """Run a job and wait for its outcome.
 
         A repeated submission of a job in progress waits for the same outcome. The job
-        is stopped once all its callers have been cancelled because their clients have
-        disconnected.
+        is stopped once all its callers have left, or have been cancelled because their
+        clients have disconnected.
 
         Args:
           submission: A Submission.
           route: Its Route.
+          caller: A Caller.
 
         Returns:
           An Outcome.
         """
+        self.drop_departed()
+        if caller.has_departed:
+            return self._refuse_departed(submission)
         job = self._jobs.get(submission.job_id)
         if job is None:
             self._scheduler.run_if_scheduled()
@@ -171,13 +181,35 @@
                 self._log_answer(job, outcome.state, outcome.reason, **decision.inputs)
                 return outcome
             self._accept(job)
-        job.waiting_requests += 1
+        job.callers.append(caller)
         try:
             return await asyncio.shield(job.answer)
         finally:
-            job.waiting_requests -= 1
-            if not job.waiting_requests and not job.answer.done():
-                self._answer(job, job_.State.UNFINISHED, "client left")
+            job.callers.remove(caller)
+            if not job.is_awaited and not job.answer.done():
+                self._answer(job, job_.State.UNFINISHED, _CALLER_LEFT)
+
+    def drop_departed(self):
+        """Answer the jobs whose callers have all left by now, and stop their tasks.
+
+        After this, the newest Room of each agent proves that the callers of all jobs
+        waited when it was sent.
+        """
+        if not self._departures.collect():
+            return
+        for job in list(self._jobs.values()):
+            if not job.is_awaited:
+                self._answer(job, job_.State.UNFINISHED, _CALLER_LEFT)
+
+    def _refuse_departed(self, submission):
+        """Return the Outcome of a request whose client left before it was handled."""
+        job_id = submission.job_id
+        _log.info("request refused", job=job_id, reason=_CALLER_LEFT)
+        self._metrics.count(metrics.Counter.REFUSED, "caller_left")
+        # An earlier request may have started the job.
+        is_running = job_id in self._jobs
+        state = job_.State.UNFINISHED if is_running else job_.State.REFUSED
+        return job_.Outcome(state, _CALLER_LEFT)
 
     def cancel(self, job_id):
         """Stop a job.
@@ -264,6 +296,7 @@
 
     def tick(self):
         """Remove workers that are gone, and offer waiting tasks to all workers."""
+        self.drop_departed()
         now_ms = self._clock.now_ms()
         for worker in self._fleet:
             worker.tick()
--- a/packages/dispatch/src/jujubeglade/direct/entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/entry.py
@@ -59,6 +59,7 @@
             self._metrics,
             options.of_settings(settings),
             settings.name,
+            self._inbound.departures,
         )
         self._request_servers = self._platform.new_request_servers(
             settings, self, self._inbound
@@ -107,12 +108,13 @@
         """
         return self._route_table.find(host, path)
 
-    async def submit(self, submission, route):
+    async def submit(self, submission, route, caller):
         """Run a job and wait for its outcome.
 
         Args:
           submission: A Submission.
           route: Its Route.
+          caller: A Caller.
 
         Returns:
           An Outcome.
@@ -126,7 +128,7 @@
         nbytes = 0 if self._dispatcher.owns(job_id) else count * _TASK_BYTES
         self._inbound.accept(nbytes)
         try:
-            return await self._dispatcher.submit(submission, route)
+            return await self._dispatcher.submit(submission, route, caller)
         finally:
             self._inbound.accept(-nbytes)
 
--- a/packages/dispatch/src/jujubeglade/direct/fleet.py
+++ b/packages/dispatch/src/jujubeglade/direct/fleet.py
@@ -101,8 +101,8 @@
     def echo_ms(self):
         """Return the time of a Room that had been received one tick before the last.
 
-        An entry that resumes after a suspension may read new Rooms before it notices
-        which clients have left meanwhile. Those have been noticed a tick later.
+        The callers that had left by then have been collected since; the tick between
+        leaves time to those whose departure was still under way.
         """
         return self._echo_ms
 
--- a/packages/dispatch/src/jujubeglade/direct/owned_job.py
+++ b/packages/dispatch/src/jujubeglade/direct/owned_job.py
@@ -135,6 +135,7 @@
 
     __slots__ = (
         "answer",
+        "callers",
         "deadline_ms",
         "due_ms",
         "may_have_started",
@@ -152,7 +153,6 @@
         "timer",
         "was_disturbed",
         "was_offered",
-        "waiting_requests",
     )
 
     def __init__(self, submission, route, now_ms):
@@ -186,8 +186,8 @@
         self.answer = asyncio.get_running_loop().create_future()
         #: Whether its ready tasks were offered to the whole fleet since it was queued.
         self.was_offered = False
-        #: The number of requests that wait for the answer.
-        self.waiting_requests = 0
+        #: The Callers that wait for the answer; some may have left.
+        self.callers = []
         self.timer = None
         self.tasks = [
             [
@@ -204,6 +204,11 @@
             if not step.after:
                 self.ready.extend(self.tasks[number])
 
+    @property
+    def is_awaited(self):
+        """Return whether a caller waits that had not left at the last look."""
+        return any(not caller.has_departed for caller in self.callers)
+
     @property
     def is_done(self):
         """Return whether all tasks are done."""
--- a/packages/dispatch/src/jujubeglade/direct/scheduler.py
+++ b/packages/dispatch/src/jujubeglade/direct/scheduler.py
@@ -43,7 +43,7 @@
           zone: A string, the availability zone of the entry.
           cluster_state: A ClusterState.
           dispatcher: The Dispatcher, with `send(task, worker, now_ms, candidates)`,
-            `may_send(task)`, `refuse_late(job)` and `on_round()`.
+            `may_send(task)`, `refuse_late(job)`, `drop_departed()` and `on_round()`.
           rack_demand: A RackDemand.
           spread_as: A function without arguments that returns the name of the entry if
             entries coordinate; else an empty string.
@@ -114,6 +114,8 @@
         if not self._is_scheduled:
             return
         self._is_scheduled = False
+        # Nothing is received during a round, so that this holds for all that is sent.
+        self._dispatcher.drop_departed()
         now_ms = self._clock.now_ms()
         everyone = tuple(self._fleet)
         grown = everyone if self._offers_all else tuple(self._grown_workers)
