Refuse messages that are nested too deep before they are decoded

What callers saw: an entry ended with signal 11 on 2 KB that a stranger without the key sent to its stream port, and an agent ended so at each start while its copy of a worker's report in the store was of that form.

Cause: each record within a record is decoded by a call of the codec from the codec, which takes a part of the C stack each time. 200 deep and more, the stack is used up. No exception is raised, so that no handler helps.

Fix: decoding stops at 16 records within each other, before the next call; the messages of this system have four. The error is the one of any unreadable message: the connection or the value is dropped, nothing else.

--- a/packages/core/src/jujubeglade/core/message.py
+++ b/packages/core/src/jujubeglade/core/message.py
@@ -16,6 +16,10 @@
 
 from jujubeglade.core import problem
 
+#: The most records within each other. Decoding takes a part of the stack for each one,
+#: and a process that has none left is ended by the system.
+_MAX_DEPTH = 16
+
 _classes = {}
 _field_counts = {}
 _packers = {}
@@ -175,11 +179,32 @@
 _packers_by_depth = _PackersByDepth()
 
 
+class _Depth:
+    """How many records within each other are being decoded."""
+
+    __slots__ = ("_count",)
+
+    def __init__(self):
+        self._count = 0
+
+    def __enter__(self):
+        if self._count == _MAX_DEPTH:
+            raise ValueError(f"more than {_MAX_DEPTH} records within each other")
+        self._count += 1
+
+    def __exit__(self, *_):
+        self._count -= 1
+
+
+_depth = _Depth()
+
+
 def _unpack(code, data):
     cls = _classes.get(code)
     if cls is None:
         raise ValueError(f"message code {code} is not known")
-    fields = msgpack.unpackb(data, ext_hook=_unpack, use_list=False)
+    with _depth:
+        fields = msgpack.unpackb(data, ext_hook=_unpack, use_list=False)
     # A newer build may send more trailing fields than this one knows.
     return cls(*fields[: _field_counts[code]])
 
