Check the fields of every message by its class, as it is decoded

What callers saw: an agent whose copy of its worker's report in the store had one field of another type started nothing, or reached no entry: its loop broke off and read the same copy again every 100 ms. `keep` starts a loop again, which is no answer to an input that stays.

Cause: a decoded record had whatever values arrived. The classes state types and units; nothing held the input to them, and each reader checked what it thought of (the copy: that it is a Copy, and its crashes are Crashes).

Fix: `core.fields` derives a check for each field from the annotation of its class, once. `message` makes it as a record is decoded, for every message on every way in: streams before and after the proof, answers of peers, copies in the store. `fields.checked` does the same for reports and answers of workers. A number is finite and at most 2^53, so that sums can be encoded and JSON readers agree on it; a string can be encoded; a name can be a part of a header. What is refused is refused as a whole, and costs the connection or the value that it came with. A copy is written with a token that it can be read with.

--- a/packages/core/src/jujubeglade/core/link.py
+++ b/packages/core/src/jujubeglade/core/link.py
@@ -145,6 +145,8 @@
                 self._last_received_ms = self._now_ms()
                 decoder.feed(data)
                 for record in decoder:
+                    if not message.is_message(record):
+                        raise ValueError("the peer sent what is no message")
                     self._dispatch(record)
         except (OSError, ValueError, TypeError, msgpack.UnpackException):
             # A peer that breaks the protocol loses only this link.
--- a/packages/core/src/jujubeglade/core/message.py
+++ b/packages/core/src/jujubeglade/core/message.py
@@ -6,6 +6,10 @@
 comes last and has a default, so that builds before and after it can talk to each
 other. A message that expects an answer is sent inside a `Request`, its answer inside a
 `Reply`.
+
+A decoded record has the types and ranges that its class states (`fields`), and is
+nested no deeper than messages of this system are. Whatever else arrives is refused as
+a whole, before any of it is used.
 """
 
 import dataclasses
@@ -14,6 +18,7 @@
 import msgpack
 import result
 
+from jujubeglade.core import fields as fields_
 from jujubeglade.core import problem
 
 #: The most records within each other. Decoding takes a part of the stack for each one,
@@ -21,6 +26,7 @@
 _MAX_DEPTH = 16
 
 _classes = {}
+_checks = {}
 _field_counts = {}
 _packers = {}
 
@@ -41,6 +47,7 @@
         if code in _classes:
             raise ValueError(f"message code {code} is taken; choose another")
         _classes[code] = record
+        _checks[code] = fields_.Checks(record)
         _field_counts[code] = len(fields)
         _packers[record] = (code, _fields_getter(fields))
         return record
@@ -122,9 +129,21 @@
       A Result of the record, or of a Problem of kind FRAME.
     """
     try:
-        return result.Ok(msgpack.unpackb(data, ext_hook=_unpack, use_list=False))
+        record = msgpack.unpackb(data, ext_hook=_unpack, use_list=False)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         return result.Err(malformed(error))
+    if not is_message(record):
+        return result.Err(malformed("it is no message"))
+    return result.Ok(record)
+
+
+def is_message(value):
+    """Return whether a decoded value is a registered record.
+
+    Args:
+      value: Anything.
+    """
+    return type(value) in _packers
 
 
 def malformed(error):
@@ -205,8 +224,12 @@
         raise ValueError(f"message code {code} is not known")
     with _depth:
         fields = msgpack.unpackb(data, ext_hook=_unpack, use_list=False)
+    if type(fields) is not tuple:
+        raise ValueError(f"the fields of a {cls.__name__} are not a list")
     # A newer build may send more trailing fields than this one knows.
-    return cls(*fields[: _field_counts[code]])
+    fields = fields[: _field_counts[code]]
+    _checks[code].check(fields)
+    return cls(*fields)
 
 
 @register(0)
--- a/packages/dispatch/src/jujubeglade/direct/contract.py
+++ b/packages/dispatch/src/jujubeglade/direct/contract.py
@@ -20,7 +20,7 @@
 
 import enum
 
-from jujubeglade.core import message
+from jujubeglade.core import fields, message
 from jujubeglade.direct import job
 
 #: The interval of the heartbeats of either side.
@@ -84,7 +84,7 @@
     members: int
     service: str
     largest: job.Resources
-    slack_ms: float
+    slack_ms: fields.Limit
     echo_ms: float
 
 
@@ -156,7 +156,7 @@
     """
 
     service: str
-    labels: tuple
+    labels: tuple[str, ...]
     total: job.Resources
     free: job.Resources
     largest: job.Resources
@@ -220,8 +220,8 @@
       ended: A tuple of Ended, the owner's most recent ones.
     """
 
-    attempts: tuple
-    ended: tuple
+    attempts: tuple[tuple[job.TaskName, int], ...]
+    ended: tuple[Ended, ...]
 
 
 @message.register(97)
@@ -236,9 +236,9 @@
     """
 
     name: str
-    tasks: tuple
-    young: tuple
-    on_probation: tuple
+    tasks: tuple[job.TaskName, ...]
+    young: tuple[job.TaskName, ...]
+    on_probation: tuple[job.TaskName, ...]
 
 
 @message.register(98)
@@ -249,7 +249,7 @@
       crashes: A tuple of Crashes.
     """
 
-    crashes: tuple
+    crashes: tuple[Crash, ...]
 
 
 @message.register(93)
@@ -262,7 +262,7 @@
     """
 
     revision: int
-    addresses: tuple
+    addresses: tuple[str, ...]
 
 
 NO_MEMBERS = Members(0, ())
--- a/packages/dispatch/src/jujubeglade/direct/job.py
+++ b/packages/dispatch/src/jujubeglade/direct/job.py
@@ -6,8 +6,9 @@
 
 import dataclasses
 import enum
+import typing
 
-from jujubeglade.core import message
+from jujubeglade.core import fields, message
 
 
 @message.register(80)
@@ -60,6 +61,14 @@
 NOTHING = Resources(0, 0, 0)
 
 
+def _is_capacity(resources):
+    return resources.covers(NOTHING)
+
+
+#: Resources of which no part is negative.
+Capacity = typing.Annotated[Resources, _is_capacity]
+
+
 @message.register(81)
 class TaskName:
     """The name of one task.
@@ -71,8 +80,8 @@
     """
 
     job_id: str
-    step: int
-    index: int
+    step: fields.Count
+    index: fields.Count
 
     def __str__(self):
         """Format the name for log lines."""
--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -15,7 +15,7 @@
 
 import asyncio
 
-from jujubeglade.core import clock, log, message
+from jujubeglade.core import clock, fields, log, message
 from jujubeglade.direct import contract, job, worker
 
 PREFIX = "jujubeglade/workers/"
@@ -44,14 +44,14 @@
       crashes: A tuple of Crashes, the last ones of the worker.
     """
 
-    name: str
-    started_ms: int
+    name: fields.OptionalName
+    started_ms: fields.Count
     service: str
-    labels: tuple
-    total: job.Resources
-    token: int = 0
-    clock_ms: float = 0
-    crashes: tuple = ()
+    labels: tuple[str, ...]
+    total: job.Capacity
+    token: fields.Count = 0
+    clock_ms: fields.Amount = 0
+    crashes: tuple[contract.Crash, ...] = ()
 
     def report(self):
         """Return the Report, older than all of the worker; None without a worker."""
@@ -80,6 +80,8 @@
     Returns:
       Bytes.
     """
+    # A copy that this agent has accepted and written again must stay readable.
+    token = min(token, fields.MAX_WHOLE)
     if report is None or report.draining:
         nothing = Copy("", 0, "", (), job.NOTHING, token, crashes=crashes)
         return message.encode(nothing)
@@ -109,16 +111,14 @@
     if not data:
         return None
     decoded = message.decode(data)
-    if decoded.is_err() or not _is_copy(decoded.ok_value):
-        _log.warning("copy of a worker unreadable", bytes=len(data))
-        return None
-    return decoded.ok_value
-
-
-def _is_copy(decoded):
-    if not isinstance(decoded, Copy) or not isinstance(decoded.crashes, tuple):
-        return False
-    return all(isinstance(crash, contract.Crash) for crash in decoded.crashes)
+    if decoded.is_err():
+        cause = decoded.err_value.message
+    elif isinstance(decoded.ok_value, Copy):
+        return decoded.ok_value
+    else:
+        cause = f"it is a {type(decoded.ok_value).__name__}"
+    _log.warning("copy of a worker unreadable", bytes=len(data), cause=cause)
+    return None
 
 
 class ReportCache:
--- a/packages/dispatch/src/jujubeglade/direct/route.py
+++ b/packages/dispatch/src/jujubeglade/direct/route.py
@@ -75,8 +75,8 @@
 
     revision: int
     version: int
-    routes: tuple
-    services: tuple
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
     max_body_bytes: int
 
 
@@ -90,7 +90,7 @@
     """
 
     revision: int
-    zones: tuple
+    zones: tuple[str, ...]
 
 
 #: What a process has before it has received anything from the operators.
--- a/packages/dispatch/src/jujubeglade/direct/worker.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker.py
@@ -12,23 +12,27 @@
 import dataclasses
 import enum
 
+from jujubeglade.core import fields
 from jujubeglade.direct import job
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@fields.checked
 class Instance:
     """One incarnation of a worker.
 
     Attributes:
       name: A string, the worker's own id.
       started_ms: An integer, when it started; 0 if the worker does not report it.
+
+    Raises:
+      FieldError: A value has another type, or is out of range.
     """
 
-    name: str
-    started_ms: int
+    name: fields.Name
+    started_ms: fields.Count
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@fields.checked
 class Report:
     """A worker's report about itself.
 
@@ -40,15 +44,18 @@
       total: A Resources, all that its tasks can use at a time.
       draining: A boolean, whether it is about to leave.
       clock_ms: A number, the worker's clock at the report; 0 if it doesn't tell.
+
+    Raises:
+      FieldError: A value has another type, or is out of range.
     """
 
     instance: Instance
     sequence: int
     service: str
-    labels: tuple
-    total: job.Resources
+    labels: tuple[str, ...]
+    total: job.Capacity
     draining: bool
-    clock_ms: float = 0
+    clock_ms: fields.Amount = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +103,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@fields.checked
 class Reply:
     """The answer to a start or a stop.
 
@@ -104,13 +111,16 @@
       answer: An Answer. Only `UNKNOWN` leaves open whether the call was or will be
         carried out; after `UNREACHABLE` it was not sent.
       clock_ms: A number, the worker's clock; None if the answer does not contain it.
+
+    Raises:
+      FieldError: A value has another type, or is out of range.
     """
 
     answer: Answer
-    clock_ms: float | None = None
+    clock_ms: fields.Amount | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@fields.checked
 class Finished:
     """The end of an attempt, as the worker lists it.
 
@@ -119,15 +129,18 @@
       task: A TaskName.
       run: An integer.
       how: A string, a contract.End.
+
+    Raises:
+      FieldError: A value has another type, or is out of range.
     """
 
-    number: int
+    number: fields.Count
     task: job.TaskName
-    run: int
+    run: fields.Count
     how: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@fields.checked
 class PollReply:
     """The answer to a poll.
 
@@ -139,14 +152,17 @@
       is_partial: A boolean, whether there may be more ends than are listed.
       started_ms: An integer, when the instance that answered started; 0 if the answer
         does not contain it.
+
+    Raises:
+      FieldError: A value has another type, or is out of range.
     """
 
     answer: Answer
-    clock_ms: float | None = None
-    running: tuple = ()
-    finished: tuple = ()
+    clock_ms: fields.Amount | None = None
+    running: tuple[tuple[job.TaskName, fields.Count], ...] = ()
+    finished: tuple[Finished, ...] = ()
     is_partial: bool = False
-    started_ms: int = 0
+    started_ms: fields.Count = 0
 
 
 class WorkerClient(abc.ABC):
