Refuse values of JSON bodies that can't be computed with or sent on

What callers saw: a worker's report with `cpu` of 10^30 was accepted, and from then on its agent could tell no entry of its room (`TypeError` in a timer callback) until the next report. A client's job with such a number, or with a string that is no valid Unicode, was accepted by the entry and broke a round of the scheduler off when its start was encoded: one request without any key cost the jobs of others. The same of a configuration when another entry asks for it, and of a report under an id with a line break, which no header can carry: each poll failed, and the loop began again every 100 ms.

Cause: JSON's whole numbers have any size, its strings may have lone surrogates, and the adapter checked types alone.

Such a body gets 400 and costs only itself.

Random odd bodies are refused, or what they lead to can be encoded and read again.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -54,6 +54,77 @@
       | total      | negative resources    |
       | total      | resources of texts    |
 
+  # Guards against: an agent that can't encode what it announces.
+  Scenario Outline: An odd report of a worker is refused and the next one is used
+    Given a platform site of 1 entries and 1 workers
+    When worker 0 reports with <change>
+    Then the report gets 400
+    And no loop has broken off
+    When a client submits 1 tasks of 4 cores for 50 ms to entry 0
+    Then the client gets 200 completed
+
+    Examples:
+      | change                                                              |
+      | {"capacity": {"cpu": 1e30, "requestedMemoryMb": 1}}                 |
+      | {"capacity": {"cpu": 1000000000000000000000000000000, "requestedMemoryMb": 1}} |
+      | {"capacity": {"cpu": 16000, "requestedMemoryMb": 9007199254740993}} |
+      | {"capacity": {"cpu": -1, "requestedMemoryMb": 1}}                   |
+      | {"capacity": {"cpu": true, "requestedMemoryMb": 1}}                 |
+      | {"service": "\ud800"}                                               |
+      | {"labels": ["\udfff"]}                                              |
+      | {"born": 1000000000000000000000000000000}                           |
+      | {"sequence": 1000000000000000000000000000000}                       |
+
+  Scenario: A report under an id that is no part of a header is refused
+    Given a platform site of 1 entries and 1 workers
+    When a report arrives under the id a%0Ab
+    Then the report gets 400
+    And no loop has broken off
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+  # Guards against: a round of the scheduler that breaks off at one job.
+  Scenario Outline: An odd submission is refused and others are served
+    Given a platform site of 1 entries and 1 workers
+    When a client sends POST /stock/0123456789abcdef with <body>
+    Then the client gets 400
+    And no loop has broken off
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+    Examples:
+      | body                                                                                                |
+      | {"bestEffort": true, "spec": "\ud800", "steps": [{"cpu": 1}]}                                       |
+      | {"bestEffort": true, "steps": [{"cpu": 1000000000000000000000000000000}]}                           |
+      | {"bestEffort": true, "steps": [{"cpu": 1, "requestedMemoryMb": 9007199254740993}]}                  |
+      | {"bestEffort": true, "steps": [{"cpu": 1, "estimatedRuntimeMs": 1000000000000000000000000000000}]}  |
+      | {"bestEffort": true, "steps": [{"cpu": 1, "requirements": "\ud800"}]}                               |
+      | {"bestEffort": true, "steps": [{"cpu": 1, "affinity": "\ud800"}]}                                   |
+      | {"bestEffort": true, "steps": [{"cpu": 1, "antiAffinity": 1000000000000000000000000000000}]}        |
+
+  Scenario Outline: An odd configuration is passed over
+    Given a platform site of 1 entries and 1 workers
+    When another writer makes <text> the configuration
+    Then entry 0 answers GET /stock/ with 200 within 1000 ms
+    And no loop has broken off
+    When the operator moves the route to /parts/
+    Then entry 0 answers GET /parts/ with 200 within 2000 ms
+
+    Examples:
+      | text                                                                                             |
+      | {"version": 1000000000000000000000000000000, "routes": [], "services": []}                       |
+      | {"version": 9, "routes": [], "services": [{"name": "\ud800"}]}                                   |
+      | {"version": 9, "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s", "targetLatencyMs": Infinity}], "services": []} |
+      | {"version": 9, "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s", "slackFactor": 1e300}], "services": []} |
+
+  Scenario: A request whose host is no text is answered
+    Given a platform site of 1 entries and 1 workers
+    When a client sends bytes that name the host ff fe
+    Then it gets an answer
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
   Scenario: Random odd messages are refused, or are the same when they are encoded again
     Given 4000 odd messages for each of the seeds
     Then each is refused or comes out of the codec as it went in
+
+  Scenario: Random odd bodies are refused, or what they lead to can be sent on
+    Given 1000 odd bodies of each kind for each of the seeds
+    Then each is refused or what it leads to can be encoded
