Refuse a worker's answer whose rows have another form, as a whole

What callers saw: a poll's answer with a row that can't be read broke the loop that polls off, and it began again every 100 ms, so that its agent started nothing while such answers came. A clock that is no number broke off the task that had asked for a start, whose attempt then stayed without an end.

Cause: the rows were indexed as they came, and a list of the errors that this may raise was caught. A `KeyError` (a row that is an object) and an unhashable run were not in it; the clock was passed on unread.

Fix: rows, names and words are checked before they are used, and the answer is a record whose fields are checked as it is made. An unreadable one counts as no answer, as before; an unusable clock counts as none.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -100,6 +100,24 @@
       | {"bestEffort": true, "steps": [{"cpu": 1, "affinity": "\ud800"}]}                                   |
       | {"bestEffort": true, "steps": [{"cpu": 1, "antiAffinity": 1000000000000000000000000000000}]}        |
 
+  Scenario Outline: An odd answer of a worker costs no more than itself
+    Given a platform site of 1 entries and 1 workers
+    When worker 0 answers polls with <change> for 600 ms
+    Then no loop has broken off
+    And agents reach entry 0 within 3000 ms
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+    Examples:
+      | change                                                                            |
+      | {"running": [["0123456789abcdef.0.0.0", [], "", 100]]}                            |
+      | {"running": [["0123456789abcdef.0.0.99999999999999999999", 1, "", 100]]}          |
+      | {"finished": [["x", "0123456789abcdef.0.0.0", 1, "done", ""]]}                    |
+      | {"finished": [[1000000000000000000000000000000, "0123456789abcdef.0.0.0", 1, "done", ""]]} |
+      | {"finished": [[1, "0123456789abcdef.0.0.0", 1, ["done"], ""]]}                    |
+      | {"clockMs": "x"}                                                                  |
+      | {"clockMs": 1000000000000000000000000000000}                                      |
+      | {"clockMs": null}                                                                 |
+
   Scenario Outline: An odd configuration is passed over
     Given a platform site of 1 entries and 1 workers
     When another writer makes <text> the configuration
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -34,6 +34,12 @@
     "clockMs": 5000,
     "born": 1_700_000_000_000,
 }
+_POLL = {
+    "clockMs": 5000,
+    "born": 1_700_000_000_000,
+    "running": [["0123456789abcdef.0.0.0", 1, "", 100]],
+    "finished": [[1, "0123456789abcdef.0.0.1", 1, "done", ""]],
+}
 _CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -202,6 +208,20 @@
     return True
 
 
+@_kind("poll", _POLL)
+def _check_poll(data):
+    try:
+        reply = _worker._poll_reply(_body.loads(data))
+    except (_body.MalformedError, fields.FieldError):
+        return False
+    # As the runner computes with it.
+    names = {task for task, _ in set(reply.running)}
+    names |= {finished.task for finished in reply.finished}
+    assert all(isinstance(name, job.TaskName) for name in names)
+    assert max((finished.number for finished in reply.finished), default=0) >= 0
+    return True
+
+
 @_kind("submission", platform_site.job(2, 1, 30, after=[], requirements="a"))
 def _check_submission(data):
     try:
