Refuse odd numbers and texts of upstreams and of the configuration document

What callers saw: in the roles `entry` and `agent`, an upstream that announced 10^30 slots or a service that is no valid Unicode was accepted or answered 500, and so was such a count of running tasks; the agent couldn't encode the load that it reports to its entries from then on. A Retry-After of "²" broke off the attempt, one of 24 digits gave a time that no message can carry. A configuration document nested 100,000 deep raised an error that its reader didn't catch, and one of another writer under the id of a command did the same.

Fix: the checks of `core.fields` here too.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -63,8 +63,13 @@
       | {"revision":9}                         |
       | {"revision":2,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
       | {"revision":9,"drained_zones":[7],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
+      | {"revision":1000000000000000000000000000000,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
       | {"revision":true,"drained_zones":[],"drained_workers":[],"quotas":{},"limits":{},"rules":{},"outcomes":[]} |
 
+  Scenario: A document that is nested without end is refused
+    When configuration bytes that are nested 100000 deep are read
+    Then the configuration refuses it with the remedy: the last valid document stays in use; find out who wrote this one
+
   Scenario: A rule is set to one of its choices
     When these configuration commands are applied:
       | id | by  | change     | fields                                      |
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -50,6 +50,11 @@
     context.answer = configuration.parse(data.encode(), revision)
 
 
+@when("configuration bytes that are nested {depth:d} deep are read")
+def step_read_nested(context, depth):
+    context.answer = configuration.parse(b"[" * depth)
+
+
 @then("the configuration outcomes are:")
 def step_outcomes(context):
     attributes = ("command_id", "status", "revision", "subject")
--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import types
 
 import aiohttp
 from behave import given, then, when
 
+from jujubeglade.agent import upstream
 from jujubeglade.bench import loopback
 
 
@@ -33,6 +35,17 @@
         context.runner.run(_post(context, "/v1/renew", body))
 
 
+@when("an upstream turns a task away with Retry-After {text}")
+def step_throttled(context, text):
+    reply = types.SimpleNamespace(status=429, headers={"Retry-After": text})
+    context.call_result = upstream._outcome_of(reply, b"")
+
+
+@then("the agent waits {ms:d} ms")
+def step_waits(context, ms):
+    assert context.call_result.retry_after_ms == ms, context.call_result
+
+
 @then("the agent offers {slots:d} slots")
 def step_slots(context, slots):
     assert context.agent.executor.load().slots == slots
--- a/packages/core/src/jujubeglade/core/_configuration_json.py
+++ b/packages/core/src/jujubeglade/core/_configuration_json.py
@@ -10,8 +10,16 @@
 import result
 
 from jujubeglade.core import _configuration_document as documents
-from jujubeglade.core import problem
-
+from jujubeglade.core import fields, problem
+
+#: What another writer's bytes may raise as they are decoded.
+_UNREADABLE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 _FIELDS = {field.name for field in dataclasses.fields(documents.Document)}
 
 
@@ -51,7 +59,7 @@
     """
     try:
         document = _read(json.loads(data)) if data else documents.Document()
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _UNREADABLE_ERRORS as error:
         return _refuse(f"the document is malformed: {error!r}")
     if document.revision < min_revision:
         return _refuse(f"revision {document.revision} is below {min_revision}")
@@ -100,7 +108,7 @@
 
 def _check_revision(value):
     """Check that a revision is an integer of 0 or more."""
-    if type(value) is not int or value < 0:
+    if not fields.is_whole(value) or value < 0:
         raise ValueError(f"revision {value!r}")
     return value
 
--- a/packages/dispatch/src/jujubeglade/agent/announce.py
+++ b/packages/dispatch/src/jujubeglade/agent/announce.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from jujubeglade.agent import upstream as upstreams
+from jujubeglade.core import fields as fields_
 from jujubeglade.core import http_body
 
 _LEASE_ID_BYTES = 8
@@ -56,7 +57,7 @@
         if upstream is None:
             return _error(404, "the lease is not known; announce again")
         running = fields.get("running", 0)
-        if type(running) is not int or running < 0:
+        if not fields_.is_whole(running) or running < 0:
             return _error(400, "running is not a count; give 0 or more")
         upstream.renew(self._agent.clock.now_ms(), running)
         return web.json_response({"lease": upstream.lease})
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -24,6 +24,7 @@
 
 from jujubeglade.agent import concurrency
 from jujubeglade.core import clock, contract, problem
+from jujubeglade.core import fields as fields_
 
 CONNECT_TIMEOUT_MS = 1000
 REQUEST_TIMEOUT_MS = 1000
@@ -34,6 +35,9 @@
 _STATUS_THROTTLED = 429
 _MAX_ERROR_CHARACTERS = 500
 
+#: Of the seconds in a Retry-After: a day has five.
+_MAX_RETRY_DIGITS = 5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
@@ -256,14 +260,14 @@
     for name, expected_type in expected_types.items():
         value = fields[name]
         if (
-            type(value) is not expected_type
+            not fields_.check_of(expected_type)(value)
             or not value
             or (expected_type is int and value < 0)
         ):
             return _bad_field(
                 name,
                 f"{name} is not of type {expected_type.__name__},"
-                " or is empty, zero or negative",
+                " or is empty, zero, negative or too large",
             )
     if not fields["address"].startswith("http://"):
         return _bad_field("address", "the address is not an http URL")
@@ -276,13 +280,18 @@
     if reply.status == _STATUS_TOO_LATE:
         return _never_started(contract.RejectReason.TOO_LATE, body)
     if reply.status == _STATUS_THROTTLED:
-        seconds = reply.headers.get("Retry-After", "1")
-        retry_after_ms = int(seconds) * 1000 if seconds.isdigit() else 1000
+        retry_after_ms = _retry_after_ms(reply.headers.get("Retry-After", ""))
         return _never_started(contract.RejectReason.THROTTLED, body, retry_after_ms)
     text = body.decode("utf-8", "replace")[:_MAX_ERROR_CHARACTERS]
     return CallResult(contract.Verdict.FAILED, f"{reply.status}: {text}".encode())
 
 
+def _retry_after_ms(text):
+    """Decode a Retry-After in seconds; one that is no such number counts as 1."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_RETRY_DIGITS
+    return (int(text) if is_number else 1) * clock.MILLISECONDS_PER_SECOND
+
+
 def _result_too_long(reply):
     """Return the outcome of an answer that was too long: the attempt has failed."""
     if reply.status in (_STATUS_TOO_LATE, _STATUS_THROTTLED):
--- a/packages/dispatch/src/jujubeglade/entry/_command_submit.py
+++ b/packages/dispatch/src/jujubeglade/entry/_command_submit.py
@@ -118,7 +118,11 @@
 
 def _existing_ticket(store_entry, claim):
     """Return the ticket in the store, if it belongs to the same command."""
-    existing = _Claim(**json.loads(store_entry.value))
+    try:
+        existing = _Claim(**json.loads(store_entry.value))
+    except (ValueError, TypeError, RecursionError) as error:
+        message = f"another writer's value is under the id: {error!r}"
+        return result.Err(_bad_request("id", message, "use a new id for a new command"))
     if (existing.text, existing.by) != (claim.text, claim.by):
         message = f"the id stands for: {existing.text}"
         return result.Err(_bad_request("id", message, "use a new id for a new command"))
