Let messages carry any finite number that an entry computes

Cause: the entry tells agents how long its most urgent job can wait, which it computes from the estimates and the slack factor: beyond 2^53, the bound for numbers of messages, so that agents refused each heartbeat.

Fix: the bound holds for what comes in (`is_input`), so that what is computed from it stays finite; messages carry any finite number. Numbers of copies and reports keep the bound.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -100,6 +100,15 @@
       | {"bestEffort": true, "steps": [{"cpu": 1, "affinity": "\ud800"}]}                                   |
       | {"bestEffort": true, "steps": [{"cpu": 1, "antiAffinity": 1000000000000000000000000000000}]}        |
 
+  # Guards against: checks that refuse what an entry computes from accepted values.
+  Scenario: The largest estimates that are accepted cost no link while their job waits
+    Given a platform site of 1 entries and 1 workers
+    When a client submits 1 tasks of 16 cores for 600 ms to entry 0 and waits 100 ms
+    And a client that goes on waiting sends {"bestEffort": true, "spec": "1000 30", "steps": [{"cpu": 16000, "estimatedRuntimeMs": 9007199254740992}, {"cpu": 1, "estimatedRuntimeMs": 9007199254740992, "after": [0]}, {"cpu": 1, "estimatedRuntimeMs": 9007199254740992, "after": [1]}]}
+    And 300 ms pass
+    Then no link is lost
+    And the waiting client gets 200
+
   Scenario Outline: An odd answer of a worker costs no more than itself
     Given a platform site of 1 entries and 1 workers
     When worker 0 answers polls with <change> for 600 ms
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -20,6 +20,7 @@
 #: Random values use these seeds; a longer run gives -D seeds=N.
 _DEFAULT_SEEDS = 2
 _LOOP_EVENTS = ("loop broke off", "task broke off", "link broke off")
+_LOSS_EVENTS = ("worker lost", "entry lost")
 _ROUTE = route.Route("r", "host", "/", "parts", 0, 3, 1.6, 60.0, False)
 _SPECIAL_VALUES = {
     "negative resources": job.Resources(-1, 1, 0),
@@ -83,6 +84,23 @@
     context.site.store.put_bytes(f"{report_cache.PREFIX}agent-{index}", data)
 
 
+@when("a client that goes on waiting sends {body}")
+def step_wait(context, body):
+    path = f"{platform_site.PREFIX}{'a' * 16}"
+    request = context.site.request(0, "POST", path, body.encode())
+
+    async def start():
+        context.second_request = asyncio.create_task(request)
+
+    context.runner.run(start())
+
+
+@then("no link is lost")
+def step_no_loss(context):
+    lost = [item.msg for item in context.log.records if item.msg in _LOSS_EVENTS]
+    assert not lost, lost
+
+
 @when("a report arrives under the id {name}")
 def step_odd_id(context, name):
     address = context.site.agent_settings(0)["control"]
--- a/packages/core/src/jujubeglade/core/fields.py
+++ b/packages/core/src/jujubeglade/core/fields.py
@@ -33,10 +33,13 @@
 
 
 def is_number(value):
-    """Return whether a value is a finite number that can be computed with."""
-    return is_whole(value) or (
-        type(value) is float and -MAX_WHOLE <= value <= MAX_WHOLE
-    )
+    """Return whether a value is a finite number."""
+    return is_whole(value) or (type(value) is float and math.isfinite(value))
+
+
+def is_input(value):
+    """Return whether a value is a number of which products are finite numbers too."""
+    return is_number(value) and -MAX_WHOLE <= value <= MAX_WHOLE
 
 
 def is_text(value):
@@ -62,6 +65,10 @@
     return value >= 0
 
 
+def _is_amount(value):
+    return 0 <= value <= MAX_WHOLE
+
+
 def _is_number_or_infinite(value):
     return is_number(value) or value == math.inf
 
@@ -81,8 +88,8 @@
 
 #: A whole number of 0 or more.
 Count = typing.Annotated[int, _is_not_negative]
-#: A number of 0 or more.
-Amount = typing.Annotated[float, _is_not_negative]
+#: A number from 0 to `MAX_WHOLE`.
+Amount = typing.Annotated[float, _is_amount]
 #: A number, or positive infinity.
 Limit = typing.Annotated[float, _Kind(_is_number_or_infinite)]
 #: A printable string that is not empty.
