--- a/packages/dispatch/src/jujubeglade/entry/intake.py
+++ b/packages/dispatch/src/jujubeglade/entry/intake.py
@@ -11,6 +11,7 @@
 
 import result
 
+from jujubeglade.core import fields as fields_
 from jujubeglade.core import job, problem
 
 _DEFAULT_DEADLINE_MS = 30_000
@@ -167,6 +168,4 @@
 
 
 def _is_name(value):
-    if not isinstance(value, str) or not value.isprintable():
-        return False
-    return 0 < len(value) <= _MAX_NAME_CHARACTERS
+    return fields_.is_name(value) and len(value) <= _MAX_NAME_CHARACTERS
