Take a worker's start at any time of its clock

Cause: the check asked for a start of 0 or more; the class says that it is a time of the worker's own clock, which may be set to any time.

Fix: any whole number. The platform's adapter refuses negative ones as before.

--- a/packages/dispatch/src/jujubeglade/direct/report_cache.py
+++ b/packages/dispatch/src/jujubeglade/direct/report_cache.py
@@ -45,7 +45,7 @@
     """
 
     name: fields.OptionalName
-    started_ms: fields.Count
+    started_ms: int
     service: str
     labels: tuple[str, ...]
     total: job.Capacity
--- a/packages/dispatch/src/jujubeglade/direct/worker.py
+++ b/packages/dispatch/src/jujubeglade/direct/worker.py
@@ -22,14 +22,15 @@
 
     Attributes:
       name: A string, the worker's own id.
-      started_ms: An integer, when it started; 0 if the worker does not report it.
+      started_ms: An integer, when it started by its own clock, which may be set to any
+        time; 0 if the worker does not report it.
 
     Raises:
       FieldError: A value has another type, or is out of range.
     """
 
     name: fields.Name
-    started_ms: fields.Count
+    started_ms: int
 
 
 @fields.checked
@@ -162,7 +163,7 @@
     running: tuple[tuple[job.TaskName, fields.Count], ...] = ()
     finished: tuple[Finished, ...] = ()
     is_partial: bool = False
-    started_ms: fields.Count = 0
+    started_ms: int = 0
 
 
 class WorkerClient(abc.ABC):
