--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -50,10 +50,17 @@
       | clock_ms   | -5                    |
       | crashes    | [7]                   |
       | crashes    | 3                     |
-      | crashes    | messages 400 deep     |
       | total      | negative resources    |
       | total      | resources of texts    |
 
+  Scenario: A copy of a worker's report that is nested too deep is passed over
+    Given a platform site of 1 entries and 1 workers
+    When the copy of agent 0's worker is messages that are nested 400 deep
+    And agent 0 restarts
+    Then agents reach entry 0 within 1500 ms
+    And no loop has broken off
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
   # Guards against: an agent that can't encode what it announces.
   Scenario Outline: An odd report of a worker is refused and the next one is used
     Given a platform site of 1 entries and 1 workers
--- a/packages/dispatch/src/jujubeglade/direct/callers.py
+++ b/packages/dispatch/src/jujubeglade/direct/callers.py
@@ -3,6 +3,7 @@
 A client that has left submits its job again some time later, to any entry. So a task is
 sent only while a caller of its job is known to wait, by what the system knows at that
 moment: an entry that stood still reads the requests of clients that have left since.
+The connections of `core.inbound` are such callers, and its departures are these.
 """
 
 import abc
