--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -134,6 +134,21 @@
       | {"clockMs": 1000000000000000000000000000000}                                      |
       | {"clockMs": null}                                                                 |
 
+  # Guards against: an attempt that never ends, as its start's answer can't be read.
+  Scenario Outline: An odd answer to a start counts as a refusal
+    Given a platform site of 1 entries and 1 workers
+    When worker 0 refuses the next start with <body>
+    And a client submits 1 tasks of 4 cores for 50 ms to entry 0
+    Then the client gets 200 completed
+    And no loop has broken off
+
+    Examples:
+      | body                                        |
+      | {"clockMs": 5, "reason": ["fence"]}         |
+      | {"clockMs": 5, "reason": {"x": 1}}          |
+      | {"clockMs": "x", "reason": "room"}          |
+      | {"reason": 7}                               |
+
   Scenario Outline: An odd configuration is passed over
     Given a platform site of 1 entries and 1 workers
     When another writer makes <text> the configuration
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -51,6 +51,11 @@
     _put_copy(context, index, odd_values.nested(depth))
 
 
+@when("worker {index:d} refuses the next start with {body}")
+def step_refusal(context, index, body):
+    context.site.workers[index].next_refusal = json.loads(body)
+
+
 @when("a client that goes on waiting sends {body}")
 def step_wait(context, body):
     path = f"{platform_site.PREFIX}{'a' * 16}"
--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -45,6 +45,8 @@
         #: Whether it sends periodic reports; calls are answered either way.
         #: Fields that replace those of the answers to polls.
         self.poll_changes = {}
+        #: The body of the next answer to a start, with status 409; None for a usual one.
+        self.next_refusal = None
         self.is_reporting = True
         self._control = control
         self._loop = asyncio.get_running_loop()
@@ -144,6 +146,9 @@
 
     async def _start(self, request):
         target, fields = await self._read_request(request)
+        if self.next_refusal is not None:
+            refusal, self.next_refusal = self.next_refusal, None
+            return web.json_response(refusal, status=409)
         start = worker.Start(
             _task_name(fields["task"]),
             fields["run"],
