--- a/packages/bench/src/jujubeglade/fakes/platform_worker.py
+++ b/packages/bench/src/jujubeglade/fakes/platform_worker.py
@@ -42,11 +42,11 @@
         rng = random.Random(name)
         self.inner = direct_worker.SimulatedWorker(name, total, witness, rng)
         self.inner.attach(self)
-        #: Whether it sends periodic reports; calls are answered either way.
         #: Fields that replace those of the answers to polls.
         self.poll_changes = {}
-        #: The body of the next answer to a start, with status 409; None for a usual one.
+        #: The body with which the next start is refused; None if it is carried out.
         self.next_refusal = None
+        #: Whether it sends periodic reports; calls are answered either way.
         self.is_reporting = True
         self._control = control
         self._loop = asyncio.get_running_loop()
