Let messages carry the sums of counts that were accepted

What callers saw: two upstreams that announced the largest accepted number of slots cost their agent its links: the entries refused each heartbeat. Evidence: "The load of upstreams with the largest counts can be read by the entries" failed on the commit before: "Load has unusable values: slots". Before: the load can't be read. After: it can, and is equal. Why the fix works: a message carries whole numbers of 64 bits; the fields of records that come from outside (reports, copies, answers, announcements) keep the smaller bound, so that a sum of many of them fits.

--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -9,6 +9,7 @@
 
 from jujubeglade.agent import upstream
 from jujubeglade.bench import loopback
+from jujubeglade.core import message
 
 
 @given("an agent that accepts announcements of upstreams")
@@ -51,6 +52,14 @@
     assert context.agent.executor.load().slots == slots
 
 
+@then("the entries can read its load")
+def step_readable(context):
+    load = context.agent.executor.load()
+    decoded = message.decode(message.encode(load))
+    assert decoded.is_ok(), decoded
+    assert decoded.ok_value == load
+
+
 @then("the upstream has a free slot")
 def step_free_slot(context):
     assert _upstream(context).has_free_slot
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -40,6 +40,14 @@
     And the upstream renews with the reports 1000000000000000000000000000000
     Then the agent answers the upstream with 400: running is not a count
 
+  # Guards against: sums of accepted counts that the peer refuses, and so a link lost.
+  Scenario: The load of upstreams with the largest counts can be read by the entries
+    Given an agent that accepts announcements of upstreams
+    When the upstream posts /v1/announce {"service": "parts", "address": "http://127.0.0.1:9", "slots": 9007199254740992, "connections": 64, "lease_ms": 3000}
+    And the upstream posts /v1/announce {"service": "parts", "address": "http://127.0.0.1:10", "slots": 9007199254740992, "connections": 64, "lease_ms": 3000}
+    Then the agent offers 18014398509481984 slots
+    And the entries can read its load
+
   # Guards against: an attempt that breaks off at an answer of its upstream.
   Scenario Outline: A time to wait that is no number of seconds counts as one
     When an upstream turns a task away with Retry-After <text>
--- a/packages/core/src/jujubeglade/core/fields.py
+++ b/packages/core/src/jujubeglade/core/fields.py
@@ -17,9 +17,11 @@
 import types
 import typing
 
-#: Whole numbers up to this are exact in all JSON readers, and sums of them can be
-#: encoded.
+#: Whole numbers from outside up to this are exact in all JSON readers, and what is
+#: computed from them can be encoded.
 MAX_WHOLE = 1 << 53
+#: The numbers that each decoder of messages can read.
+_MAX_ENCODED = (1 << 63) - 1
 _MAX_NAME_CHARACTERS = 200
 
 
@@ -28,20 +30,28 @@
 
 
 def is_whole(value):
-    """Return whether a value is a whole number that can be computed with."""
+    """Return whether a value is a whole number that may come from outside."""
     return type(value) is int and -MAX_WHOLE <= value <= MAX_WHOLE
 
 
-def is_number(value):
-    """Return whether a value is a finite number."""
-    return is_whole(value) or (type(value) is float and math.isfinite(value))
-
-
 def is_input(value):
-    """Return whether a value is a number of which products are finite numbers too."""
+    """Return whether a value is a number that may come from outside."""
     return is_number(value) and -MAX_WHOLE <= value <= MAX_WHOLE
 
 
+def is_encodable(value):
+    """Return whether a value is a whole number that a message may carry.
+
+    It is wider than what may come from outside, as sums of that are sent on.
+    """
+    return type(value) is int and -_MAX_ENCODED <= value <= _MAX_ENCODED
+
+
+def is_number(value):
+    """Return whether a value is a finite number that a message may carry."""
+    return is_encodable(value) or (type(value) is float and math.isfinite(value))
+
+
 def is_text(value):
     """Return whether a value is a string that can be encoded."""
     if not isinstance(value, str):
@@ -61,10 +71,6 @@
     return is_short and value.isprintable()
 
 
-def _is_not_negative(value):
-    return value >= 0
-
-
 def _is_amount(value):
     return 0 <= value <= MAX_WHOLE
 
@@ -86,8 +92,8 @@
         self.holds = holds
 
 
-#: A whole number of 0 or more.
-Count = typing.Annotated[int, _is_not_negative]
+#: A whole number from 0 to `MAX_WHOLE`.
+Count = typing.Annotated[int, _is_amount]
 #: A number from 0 to `MAX_WHOLE`.
 Amount = typing.Annotated[float, _is_amount]
 #: A number, or positive infinity.
@@ -98,7 +104,7 @@
 OptionalName = typing.Annotated[str, _Kind(lambda value: value == "" or is_name(value))]
 
 _CHECKS = {
-    int: is_whole,
+    int: is_encodable,
     float: is_number,
     str: is_text,
     bool: lambda value: type(value) is bool,
--- a/packages/dispatch/src/jujubeglade/agent/upstream.py
+++ b/packages/dispatch/src/jujubeglade/agent/upstream.py
@@ -262,7 +262,7 @@
         if (
             not fields_.check_of(expected_type)(value)
             or not value
-            or (expected_type is int and value < 0)
+            or (expected_type is int and not 0 < value <= fields_.MAX_WHOLE)
         ):
             return _bad_field(
                 name,
--- a/packages/dispatch/src/jujubeglade/direct/job.py
+++ b/packages/dispatch/src/jujubeglade/direct/job.py
@@ -61,11 +61,14 @@
 NOTHING = Resources(0, 0, 0)
 
 
+_MOST = Resources(fields.MAX_WHOLE, fields.MAX_WHOLE, fields.MAX_WHOLE)
+
+
 def _is_capacity(resources):
-    return resources.covers(NOTHING)
+    return resources.covers(NOTHING) and _MOST.covers(resources)
 
 
-#: Resources of which no part is negative.
+#: Resources that a worker may report.
 Capacity = typing.Annotated[Resources, _is_capacity]
 
 
