Close the link of a peer that sends a message nobody expects

What callers saw: nothing yet; a build that sends an entry a message meant for agents broke the reader of its link off with a KeyError, logged by the library. Cause: what is no answer and no message of jobs was taken for a view of the cluster state, and looked up by its class. Before: an unhandled error. After: the link is closed, nothing else happens. Why the fix works: the error is of the kind with which a link's reader treats every breach of the protocol.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -19,6 +19,36 @@
       | 17    |
       | 400   |
 
+  # Guards against: connections of strangers that are kept open after an error.
+  Scenario Outline: A stranger's odd first message costs only its connection
+    Given a platform site of 1 entries and 1 workers
+    When a stranger sends entry 0 a first message with <field> <value>
+    Then entry 0 closes that connection
+    And no loop has broken off
+
+    Examples:
+      | field    | value           |
+      | version  | "x"             |
+      | version  | null            |
+      | identity | "x"             |
+      | identity | 7               |
+      | nonce    | "x"             |
+      | nonce    | null            |
+
+  # Guards against: a link's reader that breaks off at what its handler doesn't expect.
+  Scenario Outline: What a peer with the key sends and nobody expects costs only its link
+    Given a platform site of 1 entries and 1 workers
+    When a peer with the key sends entry 0 <what>
+    Then entry 0 closes that connection
+    And no loop has broken off
+    And a client that submits 1 tasks of 4 cores for 50 ms gets 200
+
+    Examples:
+      | what                     |
+      | a number                 |
+      | a message for agents     |
+      | a message of a handshake |
+
   # Guards against: an agent that ends at each start, or starts nothing, by its copy.
   Scenario Outline: An odd copy of a worker's report is passed over
     Given a platform site of 1 entries and 1 workers
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -7,16 +7,21 @@
 
 import aiohttp
 import logbook
+import msgpack
 from behave import given, then, when
 from features import odd_values
 
-from jujubeglade.core import message
-from jujubeglade.direct import job, report_cache
+from jujubeglade.core import _handshake, link, message
+from jujubeglade.direct import contract, job, report_cache
 from jujubeglade.fakes import platform_site
 
 _TIMEOUT_S = 5.0
 _LOOP_EVENTS = ("loop broke off", "task broke off", "link broke off")
 _LOSS_EVENTS = ("worker lost", "entry lost")
+_UNEXPECTED = {
+    "a message for agents": contract.Halt(job.TaskName("a" * 16, 0, 0), 1),
+    "a message of a handshake": _handshake.Proof(b"0" * 32),
+}
 _RESOURCES = {
     "negative resources": job.Resources(-1, 1, 0),
     "resources of texts": job.Resources("16000", "much", None),
@@ -25,10 +30,41 @@
 
 @when("a stranger sends entry {index:d} messages that are nested {depth:d} deep")
 def step_nested(context, index, depth):
-    host, _ = context.site.client_address(index)
-    _, _, port = context.site.entry_settings(0)["stream"].rpartition(":")
     data = odd_values.handshake_frame(odd_values.nested(depth))
-    context.runner.run(_connect_and_send((host, int(port)), data))
+    context.runner.run(_connect_and_send(_stream(context, index), data))
+
+
+@when("a stranger sends entry {index:d} a first message with {field:w} {value}")
+def step_odd_hello(context, index, field, value):
+    identity = link.Identity("agent", "stranger", "0123456789", "zone-0")
+    hello = _handshake.Hello(_handshake.PROTOCOL_VERSION, identity, b"0" * 16)
+    object.__setattr__(hello, field, _odd_value(value))
+    frame = odd_values.handshake_frame(message.encode(hello))
+    # An answer invites the stranger's proof, which it can't give.
+    proof = odd_values.handshake_frame(message.encode(_handshake.Proof(b"0" * 32)))
+    context.closed = context.runner.run(
+        _is_closed(_stream(context, index), frame, proof)
+    )
+
+
+@when("a peer with the key sends entry {index:d} {what}")
+def step_odd_peer(context, index, what):
+    data = msgpack.packb(7) if what == "a number" else message.encode(_UNEXPECTED[what])
+
+    async def send():
+        reader, writer = await asyncio.open_connection(*_stream(context, index))
+        key = context.site.entry_settings(index)["cluster_key"].encode()
+        identity = link.Identity("agent", "peer", "0123456789", "zone-0")
+        (await _handshake.dial(reader, writer, key, identity)).unwrap()
+        writer.write(data)
+        return await _reaches_end(reader, writer)
+
+    context.closed = context.runner.run(send())
+
+
+@then("entry {index:d} closes that connection")
+def step_closed(context, index):
+    assert context.closed
 
 
 @when("the copy of agent {index:d}'s worker has {field:w} {value}")
@@ -125,6 +161,36 @@
     assert not errors, errors
 
 
+def _stream(context, index):
+    """Return the address of an entry for agents, as a pair of host and port."""
+    host, _ = context.site.client_address(index)
+    _, _, port = context.site.entry_settings(0)["stream"].rpartition(":")
+    return host, int(port)
+
+
+async def _is_closed(address, *frames):
+    """Send frames on a connection, and return whether the peer closes it."""
+    reader, writer = await asyncio.open_connection(*address)
+    for frame in frames:
+        writer.write(frame)
+    return await _reaches_end(reader, writer)
+
+
+async def _reaches_end(reader, writer):
+    """Return whether the peer closes a connection within a while."""
+    try:
+        async with asyncio.timeout(_TIMEOUT_S):
+            while await reader.read(1 << 16):
+                pass
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    finally:
+        writer.close()
+    return True
+
+
 def _odd_value(text):
     """Return the value of a field that an example gives, as JSON or by its name."""
     if text in _RESOURCES:
--- a/packages/dispatch/src/jujubeglade/direct/cluster_state.py
+++ b/packages/dispatch/src/jujubeglade/direct/cluster_state.py
@@ -14,6 +14,18 @@
 _log = log.get(__name__)
 
 
+class UnexpectedMessageError(ValueError):
+    """A peer sent a message that this process has no use for.
+
+    The link is closed, as with any peer that breaks the protocol.
+    """
+
+    def __init__(self, name, source):
+        super().__init__(
+            f"{source} sent a {name}; run the same version of jujubeglade on both sides"
+        )
+
+
 class ClusterState:
     """The newest views that one process has."""
 
@@ -56,9 +68,14 @@
 
         Returns:
           A boolean, whether the view was replaced.
+
+        Raises:
+          UnexpectedMessageError: A peer sent what is no view.
         """
         kind = type(view)
-        former = self._views[kind]
+        former = self._views.get(kind)
+        if former is None:
+            raise UnexpectedMessageError(kind.__name__, source)
         if view.revision <= former.revision:
             return False
         self._views[kind] = view
