--- a/packages/dispatch/src/jujubeglade/direct/cluster_state.py
+++ b/packages/dispatch/src/jujubeglade/direct/cluster_state.py
@@ -21,6 +21,12 @@
     """
 
     def __init__(self, name, source):
+        """Describe it.
+
+        Args:
+          name: A string, the class of the message.
+          source: A string, who sent it.
+        """
         super().__init__(
             f"{source} sent a {name}; run the same version of jujubeglade on both sides"
         )
