Test what was mended of odd entries without a test of its own

Seen: mended how evacuations under keys that can't be encoded, pages of the store and values under the id of a command are read, and no test showed that these had been wrong. Before: no test. After: ten, which pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -194,6 +194,34 @@
       | {"version": 9, "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s", "targetLatencyMs": Infinity}], "services": []} |
       | {"version": 9, "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s", "slackFactor": 1e300}], "services": []} |
 
+  Scenario: Evacuations under odd keys leave the others in force
+    When the evacuations of these keys are read: op/evacuate/\ud800, op/evacuate/zone-1
+    Then the evacuated zones are zone-1
+    And a peer can read these evacuations
+
+  Scenario Outline: An odd page of the store is an error of the store
+    When the store answers a page with <body>
+    Then the page is refused
+
+    Examples:
+      | body                                                            |
+      | {"items": ["x"], "at": 1, "hasMore": false}                     |
+      | {"items": [{"key": "a", "revision": "x"}], "at": 1}             |
+      | {"items": [{"key": "a", "value": "?", "revision": 1}], "at": 1} |
+      | {"items": 3, "at": 1, "hasMore": false}                         |
+
+  Scenario Outline: An odd value under the id of a command is another writer's
+    When the key of a command's id holds <value>
+    Then the id is refused with the remedy: use a new id for a new command
+
+    Examples:
+      | value                  |
+      | 7                      |
+      | [1]                    |
+      | {"x": 1}               |
+      | nothing                |
+      | lists 100000 deep      |
+
   Scenario: A request whose host is no text is answered
     Given a platform site of 1 entries and 1 workers
     When a client sends bytes that name the host ff fe
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -4,6 +4,8 @@
 import json
 import logging.handlers
 import socket
+import tracemalloc
+import zlib
 
 import aiohttp
 import logbook
@@ -11,11 +13,15 @@
 from behave import given, then, when
 from features import odd_values
 
-from jujubeglade.core import _handshake, link, message
-from jujubeglade.direct import contract, job, report_cache
+from jujubeglade.core import _handshake, link, message, store
+from jujubeglade.direct import contract, job, peer_entry, report_cache
+from jujubeglade.entry import _command_submit
 from jujubeglade.fakes import platform_site
+from jujubeglade.platform import _operators, _store
 
 _TIMEOUT_S = 5.0
+#: Time for a change to reach all processes of the site.
+_SETTLE_S = 0.3
 _LOOP_EVENTS = ("loop broke off", "task broke off", "link broke off")
 _LOSS_EVENTS = ("worker lost", "entry lost")
 _UNEXPECTED = {
@@ -109,6 +115,81 @@
     assert not lost, lost
 
 
+@when("another writer leaves {text} under {key}")
+def step_leave(context, text, key):
+    context.site.store.put_bytes(key, text.encode())
+    context.runner.run(asyncio.sleep(_SETTLE_S))
+
+
+@then('each process has logged "{event}" once at most')
+def step_logged_once(context, event):
+    count = sum(item.msg == event for item in context.log.records)
+    processes = len(context.site.entries) + len(context.site.agents)
+    assert count <= processes, count
+
+
+@then('some process has logged "{event}"')
+def step_logged(context, event):
+    assert any(item.msg == event for item in context.log.records)
+
+
+@when("the evacuations of these keys are read: {keys}")
+def step_evacuations(context, keys):
+    texts = [json.loads(f'"{key}"') for key in keys.split(", ")]
+    context.evacuations = _operators.read_evacuations(texts, 7)
+
+
+@then("the evacuated zones are {zones}")
+def step_zones(context, zones):
+    assert context.evacuations.zones == tuple(zones.split(", "))
+
+
+@then("a peer can read these evacuations")
+def step_readable(context):
+    encoded = message.encode(context.evacuations)
+    assert message.decode(encoded).ok_value == context.evacuations
+
+
+@when("the store answers a page with {body}")
+def step_page(context, body):
+    context.page = _store._decode(200, json.loads(body), _store._page)
+
+
+@then("the page is refused")
+def step_page_refused(context):
+    assert context.page.is_err(), context.page
+
+
+@when("the key of a command's id holds {value}")
+def step_claim(context, value):
+    data = b"[" * 100_000 if value == "lists 100000 deep" else value.encode()
+    entry = store.Entry("commands/c", data, 3)
+    claim = _command_submit._Claim("ticket", "show zones", "duty")
+    context.ticket = _command_submit._existing_ticket(entry, claim)
+
+
+@then("the id is refused with the remedy: {remedy}")
+def step_claim_refused(context, remedy):
+    assert context.ticket.is_err(), context.ticket
+    assert context.ticket.err_value.remedy == remedy, context.ticket
+
+
+@when("a peer answers with {size:d} MB of zeros, compressed")
+def step_large(context, size):
+    data = zlib.compress(bytes(size << 20))
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    body = contract.CompressedConfiguration(data)
+    context.configuration = peer_entry._decompress(body)
+
+
+@then("the configuration of the peer is refused, and takes less than {size:d} MB")
+def step_large_refused(context, size):
+    _, peak = tracemalloc.get_traced_memory()
+    assert context.configuration.is_err(), context.configuration
+    assert peak < size << 20, peak
+
+
 @when("a report arrives under the id {name}")
 def step_odd_id(context, name):
     address = context.site.agent_settings(0)["control"]
