Read an odd entry of the store once, until it changes

What callers saw: nothing; the log named an unreadable configuration, and each unreadable registration, again at every change of any key beside it. A configuration of a megabyte was decoded anew each time. Cause: each view of the store is read as a whole, and what could not be read was not remembered. Before: read at each change. After: once in each process. Why the fix works: a key has the revision of its last change; the reader of addresses keeps what it read of each revision, the process the revision of the last configuration that it could not read.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -194,6 +194,22 @@
       | {"version": 9, "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s", "targetLatencyMs": Infinity}], "services": []} |
       | {"version": 9, "routes": [{"name": "r", "host": "h", "prefix": "/", "service": "s", "slackFactor": 1e300}], "services": []} |
 
+  # Guards against: an entry of another writer that is read again at every change.
+  Scenario Outline: An odd entry is read once, however often others change
+    Given a platform site of 1 entries and 1 workers
+    When another writer leaves <text> under <key>
+    And the operator evacuates zone-0
+    And the operator ends the evacuation of zone-0
+    And another writer leaves 127.0.0.9:1 under jujubeglade/entries/other
+    And another writer leaves 127.0.0.9:2 under jujubeglade/entries/other
+    Then each process has logged "<event>" once at most
+    And some process has logged "<event>"
+
+    Examples:
+      | text             | key                     | event                    |
+      | [1]              | op/config               | configuration unreadable |
+      | 127.0.0.1:70000  | jujubeglade/entries/odd | registration unreadable  |
+
   Scenario: Evacuations under odd keys leave the others in force
     When the evacuations of these keys are read: op/evacuate/\ud800, op/evacuate/zone-1
     Then the evacuated zones are zone-1
--- a/packages/dispatch/src/jujubeglade/direct/process.py
+++ b/packages/dispatch/src/jujubeglade/direct/process.py
@@ -39,6 +39,8 @@
         self._background = background.new_background()
         self._store = None
         self._page = None
+        # Of the last configuration that could not be read.
+        self._unreadable_revision = 0
 
     async def _open(self, measure):
         """Connect to the store, serve metrics and start the followers.
@@ -83,8 +85,10 @@
             self._cluster_state.offer(evacuations, "store")
             self._offer_configuration(entries.get(self._platform.configuration_key))
 
+        reader = registration.AddressReader()
+
         def offer_members(entries, revision):
-            addresses = registration.addresses(entries)
+            addresses = reader.read(entries)
             self._cluster_state.offer(contract.Members(revision, addresses), "store")
 
         return (
@@ -101,8 +105,12 @@
         known_revision = self._cluster_state.configuration.revision
         if entry is None or entry.mod_revision <= known_revision:
             return
+        if entry.mod_revision == self._unreadable_revision:
+            return
         configuration = self._platform.read_configuration(entry)
-        if configuration is not None:
+        if configuration is None:
+            self._unreadable_revision = entry.mod_revision
+        else:
             self._cluster_state.offer(configuration, "store")
 
     def _operators_prefix(self):
--- a/packages/dispatch/src/jujubeglade/direct/registration.py
+++ b/packages/dispatch/src/jujubeglade/direct/registration.py
@@ -19,26 +19,46 @@
 _log = log.get(__name__)
 
 
-def addresses(entries):
-    """List the registered addresses.
+class AddressReader:
+    """Reads the registered addresses; each key once, until it changes.
 
     A key may come from another writer; one whose value is no address is skipped.
+    """
 
-    Args:
-      entries: A dict from key to store.Entry.
+    __slots__ = ("_read",)
 
-    Returns:
-      A tuple of strings, HOST:PORT, sorted.
-    """
-    valid = []
-    for key, entry in entries.items():
-        text = entry.value.decode(errors="replace")
-        read = settings.read_address(text, key)
-        if read.is_ok():
-            valid.append(str(read.ok_value))
-        else:
-            _log.warning("registration unreadable", cause=read.err_value[0])
-    return tuple(sorted(valid))
+    def __init__(self):
+        """Start without keys."""
+        # Pairs of a revision and an address, None for an unreadable one, by key.
+        self._read = {}
+
+    def read(self, entries):
+        """List the registered addresses.
+
+        Args:
+          entries: A dict from key to store.Entry.
+
+        Returns:
+          A tuple of strings, HOST:PORT, sorted.
+        """
+        former = self._read
+        self._read = {}
+        for key, entry in entries.items():
+            known = former.get(key)
+            if known is None or known[0] != entry.mod_revision:
+                known = (entry.mod_revision, _address(key, entry.value))
+            self._read[key] = known
+        addresses = (address for _, address in self._read.values())
+        return tuple(sorted(filter(None, addresses)))
+
+
+def _address(key, value):
+    """Return the address in the value of a key; None if there is none."""
+    read = settings.read_address(value.decode(errors="replace"), key)
+    if read.is_ok():
+        return str(read.ok_value)
+    _log.warning("registration unreadable", cause=read.err_value[0])
+    return None
 
 
 class Registration:
