Bound what a peer's configuration unpacks to

What callers saw: nothing yet; a peer's answer of 200 KB that unpacks to 200 MB took the entry over the memory of its VM, which ends it. Cause: the answer was unpacked whole, whatever its size; a link bounds only what is sent. Evidence: "A configuration of a peer that unpacks to more than any has is refused" failed on the commit before: 458 MB for 200 MB of zeros. Before: 458 MB. After: less than 64 MB, the bound of the test.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -238,6 +238,10 @@
       | nothing                |
       | lists 100000 deep      |
 
+  Scenario: A configuration of a peer that unpacks to more than any has is refused
+    When a peer answers with 200 MB of zeros, compressed
+    Then the configuration of the peer is refused, and takes less than 64 MB
+
   Scenario: A request whose host is no text is answered
     Given a platform site of 1 entries and 1 workers
     When a client sends bytes that name the host ff fe
--- a/packages/dispatch/src/jujubeglade/direct/peer_entry.py
+++ b/packages/dispatch/src/jujubeglade/direct/peer_entry.py
@@ -101,10 +101,14 @@
     """
     if not isinstance(body, contract.CompressedConfiguration):
         return result.Err(_unexpected(body))
+    unpacker = zlib.decompressobj()
     try:
-        decoded = message.decode(zlib.decompress(body.data))
-    except (zlib.error, TypeError) as error:
+        data = unpacker.decompress(body.data, link.MAX_MESSAGE_BYTES)
+    except zlib.error as error:
         return result.Err(message.malformed(error))
+    if not unpacker.eof:
+        return result.Err(message.malformed("it is cut off, or too large unpacked"))
+    decoded = message.decode(data)
     if decoded.is_ok() and not isinstance(decoded.ok_value, route.Configuration):
         return result.Err(_unexpected(decoded.ok_value))
     return decoded
